--- /dev/null
+++ b/src/bookkeeping/committer.ts
@@ -0,0 +1,97 @@
+import { isDeepStrictEqual } from 'node:util';
+import { BACKOFF_FIRST_MS, BACKOFF_LAST_MS } from '../constants.js';
+import { Refused, type Change, type Guard, type StateApi } from '../protocol/state-api.js';
+import { sleep, type Clock } from '../transport/clock.js';
+import type { Gate, Purpose } from './gate.js';
+import type { Log } from './log.js';
+import type { View } from './view.js';
+
+export type CommitResult =
+  | { kind: 'done' }
+  /** These keys are not as the guards said; the view has been read anew for them. */
+  | { kind: 'conflict'; failed: string[] }
+  /** Not carried out, and no longer tried; `unsure`: it may still be carried out. */
+  | { kind: 'givenUp'; unsure: boolean };
+
+/**
+ * Carries transactions out to a known end. A transaction without an answer may be applied late, so
+ * it is sent again with the same guards: one of the two then fails, and the keys tell whether the
+ * other was carried out.
+ */
+export class Committer {
+  constructor(
+    private readonly api: StateApi,
+    private readonly gate: Gate,
+    private readonly view: View,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  /** `wanted` is asked before each try; when it says no, the transaction is given up. */
+  async commit(
+    purpose: Purpose,
+    guards: Guard[],
+    changes: Change[],
+    wanted: () => boolean,
+  ): Promise<CommitResult> {
+    let unsure = false;
+    let pause = BACKOFF_FIRST_MS;
+    for (;;) {
+      await this.gate.pass(purpose, changes.length);
+      if (!wanted()) return { kind: 'givenUp', unsure };
+      try {
+        const result = await this.api.txn(guards, changes);
+        if (result.ok) {
+          this.adopt(changes, result.revision);
+          return { kind: 'done' };
+        }
+        const reread = new Set(result.failed);
+        if (unsure) for (const change of changes) reread.add(change.key);
+        for (const key of reread) await this.reread(purpose, key);
+        if (unsure && changes.length > 0 && changes.every((change) => this.reflects(change))) {
+          return { kind: 'done' };
+        }
+        return { kind: 'conflict', failed: result.failed };
+      } catch (error) {
+        if (error instanceof Refused) {
+          if (error.status === 400) return { kind: 'conflict', failed: [] };
+          if (error.status === 429) this.gate.refused();
+        } else {
+          unsure = true;
+        }
+        this.log.debug({ error: String(error), purpose }, 'transaction failed, trying again');
+        await sleep(this.clock, pause);
+        pause = Math.min(pause * 2, BACKOFF_LAST_MS);
+      }
+    }
+  }
+
+  private adopt(changes: Change[], revision: number): void {
+    this.view.applyOwn(
+      changes.map((change) => ({
+        key: change.key,
+        value: 'remove' in change ? undefined : change.value,
+        mark: revision,
+      })),
+    );
+  }
+
+  private reflects(change: Change): boolean {
+    const held = this.read.get(change.key);
+    if ('remove' in change) return held === null;
+    return held !== undefined && held !== null && isDeepStrictEqual(held.value, change.value);
+  }
+
+  private readonly read = new Map<string, { value: unknown; mark: number } | null>();
+
+  private async reread(purpose: Purpose, key: string): Promise<void> {
+    await this.gate.pass(purpose, 0);
+    const held = await this.api.get(key);
+    this.read.set(key, held);
+    if (this.read.size > 64) {
+      const oldest = this.read.keys().next();
+      if (!oldest.done) this.read.delete(oldest.value);
+    }
+    if (held) this.view.applyOwn([{ key, value: held.value, mark: held.mark }]);
+  }
+}
--- /dev/null
+++ b/src/bookkeeping/records.ts
@@ -0,0 +1,98 @@
+import type { JobSpec, JobState } from '../protocol/terms.js';
+import { countRanges, readRanges } from './ranges.js';
+
+/** A job that is neither done nor cancelled. */
+export interface JobRecord {
+  spec: JobSpec;
+  /** Time of day of its acceptance in ms. */
+  at: number;
+}
+
+/** What is left of a job: its final state never changes. */
+export interface FinalRecord {
+  state: Extract<JobState, 'done' | 'cancelled'>;
+  tasks: number;
+}
+
+/**
+ * Some tasks of a job in the hands of one part. The leader makes it, only the part changes it; it
+ * holds what team limits need, so that it still counts when its job's record is gone.
+ */
+export interface ChunkRecord {
+  /** Task numbers, as ranges. */
+  ids: string;
+  done: string;
+  /** Placed tasks: machine and attempt by task number. */
+  live: Record<string, [machine: string, attempt: number]>;
+  team: string;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  /** The zone its tasks run in; the leader settled it. */
+  zone: string;
+}
+
+export type MachineState = 'rented' | 'drain' | 'gone';
+
+/** The leader's word on a machine. Without one, a machine may be used. */
+export interface MachineRecord {
+  state: MachineState;
+  type: string;
+  zone: string;
+  spot: boolean;
+  /** Time of day of the state's beginning in ms. */
+  at: number;
+}
+
+export type MachineHealth = 'ok' | 'leaving' | 'silent' | 'faulty';
+
+/** A part's machines as the leader needs them: type, zone, spot, health. */
+export interface StatusRecord {
+  machines: Record<string, [type: string, zone: string, spot: 0 | 1, health: MachineHealth]>;
+}
+
+export interface NodeRecord {
+  incarnation: string;
+}
+
+export interface RoleRecord {
+  owner: string;
+  incarnation: string;
+  term: number;
+  /** Time of day at which the role last went from one node to another, in ms; 0: never. */
+  movedAt: number;
+}
+
+/** A chunk as it counts for everyone but its own part. */
+export interface ChunkSummary {
+  part: string;
+  job: string;
+  number: number;
+  ids: number[];
+  done: number;
+  live: Record<string, [string, number]>;
+  liveCount: number;
+  team: string;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  zone: string;
+}
+
+export function summarize(
+  key: { part: string; job: string; number: number },
+  record: ChunkRecord,
+): ChunkSummary {
+  return {
+    ...key,
+    ids: readRanges(record.ids),
+    done: countRanges(record.done),
+    live: record.live,
+    liveCount: Object.keys(record.live).length,
+    team: record.team,
+    cpus: record.cpus,
+    gpus: record.gpus,
+    memoryGb: record.memoryGb,
+    zone: record.zone,
+  };
+}
--- /dev/null
+++ b/src/bookkeeping/view.ts
@@ -0,0 +1,224 @@
+import {
+  BACKOFF_FIRST_MS,
+  BACKOFF_LAST_MS,
+  FINAL_CACHE,
+  WATCH_HOLD_MS,
+  WATCH_SPACING_MS,
+} from '../constants.js';
+import type { StateApi } from '../protocol/state-api.js';
+import { sleep, type Clock } from '../transport/clock.js';
+import { CHUNKS, FINALS, LIVE, ROOT, readChunkKey } from './keys.js';
+import type { Gate } from './gate.js';
+import type { Log } from './log.js';
+import { summarize, type ChunkRecord, type ChunkSummary, type FinalRecord } from './records.js';
+
+export interface Held<T = unknown> {
+  value: T;
+  mark: number;
+}
+
+/**
+ * This node's copy of the live keys, kept by a watch. It is complete up to `revision`, and was so
+ * at `freshAt` of this node's steady clock: the time at which the last answered watch was *sent*,
+ * since the answer may have been held on its way.
+ */
+export class View {
+  private readonly held = new Map<string, Held>();
+  /** Marks of keys removed ahead of the watch, so that older events don't bring them back. */
+  private readonly removed = new Map<string, number>();
+  private readonly finals = new Map<string, FinalRecord>();
+  private readonly summaries = new Map<string, ChunkSummary>();
+  private readonly byJob = new Map<string, Set<string>>();
+  private readonly listeners: ((keys: string[]) => void)[] = [];
+  private stopped = false;
+  private wake: (() => void) | null = null;
+  revision = 0;
+  freshAt = -Infinity;
+  loaded = false;
+
+  constructor(
+    private readonly api: StateApi,
+    private readonly gate: Gate,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  onChange(listener: (keys: string[]) => void): void {
+    this.listeners.push(listener);
+  }
+
+  get<T>(key: string): Held<T> | null {
+    return (this.held.get(key) as Held<T> | undefined) ?? null;
+  }
+
+  markOf(key: string): number {
+    return this.held.get(key)?.mark ?? 0;
+  }
+
+  /** The keys below a prefix, in no order. */
+  *below<T>(prefix: string): Generator<[string, Held<T>]> {
+    for (const [key, held] of this.held) {
+      if (key.startsWith(prefix)) yield [key, held as Held<T>];
+    }
+  }
+
+  final(id: string): FinalRecord | null {
+    return this.finals.get(id) ?? null;
+  }
+
+  chunks(): Map<string, ChunkSummary> {
+    return this.summaries;
+  }
+
+  chunksOf(job: string): ChunkSummary[] {
+    const found: ChunkSummary[] = [];
+    for (const key of this.byJob.get(job) ?? []) {
+      const summary = this.summaries.get(key);
+      if (summary) found.push(summary);
+    }
+    return found;
+  }
+
+  keepFinal(id: string, record: FinalRecord): void {
+    this.finals.set(id, record);
+    if (this.finals.size > FINAL_CACHE) {
+      const oldest = this.finals.keys().next();
+      if (!oldest.done) this.finals.delete(oldest.value);
+    }
+  }
+
+  /** Takes over what is known of one key, unless something newer is; `undefined` is a removal. */
+  apply(key: string, value: unknown, mark: number): boolean {
+    if (key.startsWith(FINALS)) {
+      if (value !== undefined) this.keepFinal(key.slice(FINALS.length), value as FinalRecord);
+      return true;
+    }
+    if (!key.startsWith(LIVE)) return false;
+    const known = this.held.get(key);
+    if ((known && known.mark >= mark) || (this.removed.get(key) ?? 0) >= mark) return false;
+    if (value === undefined) {
+      this.held.delete(key);
+      if (mark > this.revision) this.removed.set(key, mark);
+    } else {
+      this.held.set(key, { value, mark });
+    }
+    if (key.startsWith(CHUNKS)) this.applyChunk(key, value as ChunkRecord | undefined);
+    return true;
+  }
+
+  private applyChunk(key: string, record: ChunkRecord | undefined): void {
+    const name = readChunkKey(key);
+    if (!name) return;
+    const group = this.byJob.get(name.job);
+    if (record === undefined) {
+      this.summaries.delete(key);
+      group?.delete(key);
+      if (group?.size === 0) this.byJob.delete(name.job);
+      return;
+    }
+    this.summaries.set(key, summarize(name, record));
+    if (group) group.add(key);
+    else this.byJob.set(name.job, new Set([key]));
+  }
+
+  /** Takes over changes made by this node itself, ahead of the watch. */
+  applyOwn(changes: { key: string; value: unknown; mark: number }[]): void {
+    const changed = changes.filter((one) => this.apply(one.key, one.value, one.mark));
+    if (changed.length > 0) this.tell(changed.map((one) => one.key));
+  }
+
+  private tell(keys: string[]): void {
+    for (const listener of this.listeners) listener(keys);
+  }
+
+  /** Reads all live keys; keys that are no longer there go. */
+  async load(): Promise<void> {
+    const seen = new Map<string, Held>();
+    let after: string | null = null;
+    let first: number | null = null;
+    for (;;) {
+      await this.gate.pass('watch', 0);
+      const page = await this.api.list(LIVE, after);
+      first ??= page.revision;
+      for (const entry of page.entries) {
+        seen.set(entry.key, { value: entry.value, mark: entry.mark });
+        after = entry.key;
+      }
+      if (!page.more) break;
+    }
+    const keys: string[] = [];
+    for (const [key, held] of this.held) {
+      if (!seen.has(key) && held.mark <= first) {
+        this.apply(key, undefined, first);
+        keys.push(key);
+      }
+    }
+    for (const [key, held] of seen) {
+      if (this.apply(key, held.value, held.mark)) keys.push(key);
+    }
+    this.revision = Math.max(this.revision, first);
+    this.loaded = true;
+    this.tell(keys);
+  }
+
+  /** Asks for changes at once instead of after the usual spacing. */
+  hurry(): void {
+    this.wake?.();
+  }
+
+  /** Follows the changes until stopped; failures are waited out. */
+  async follow(): Promise<void> {
+    let pause = BACKOFF_FIRST_MS;
+    while (!this.stopped) {
+      try {
+        if (!this.loaded) await this.load();
+        await this.gate.pass('watch', 0);
+        const sentAt = this.clock.now();
+        const result = await this.api.watch(ROOT, this.revision, WATCH_HOLD_MS);
+        if (this.stopped) return;
+        if (result === null) {
+          this.log.info({ since: this.revision }, 'changes no longer kept, reading all keys again');
+          await this.load();
+          continue;
+        }
+        this.take(result.events, result.revision);
+        this.freshAt = Math.max(this.freshAt, sentAt);
+        pause = BACKOFF_FIRST_MS;
+        await new Promise<void>((resolve) => {
+          const cancel = this.clock.after(WATCH_SPACING_MS, resolve);
+          this.wake = () => {
+            cancel();
+            resolve();
+          };
+        });
+        this.wake = null;
+      } catch (error) {
+        this.log.debug({ error: String(error), pause }, 'watch failed');
+        await sleep(this.clock, pause);
+        pause = Math.min(pause * 2, BACKOFF_LAST_MS);
+      }
+    }
+  }
+
+  private take(
+    events: { key: string; value: unknown; mark: number; removed: boolean }[],
+    revision: number,
+  ): void {
+    const keys: string[] = [];
+    for (const event of events) {
+      const value = event.removed ? undefined : event.value;
+      if (this.apply(event.key, value, event.mark)) keys.push(event.key);
+    }
+    this.revision = Math.max(this.revision, revision);
+    for (const [key, mark] of this.removed) {
+      if (mark <= this.revision) this.removed.delete(key);
+    }
+    // Told even without events: the view's freshness is what owners wait for.
+    this.tell(keys);
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.hurry();
+  }
+}
--- /dev/null
+++ b/src/constants.ts
@@ -0,0 +1,128 @@
+/**
+ * Every constant of the program, with unit and reason. What an operator may want to change is a
+ * default of the operators' settings in `protocol/settings.ts`; what a deployment decides comes
+ * from its settings file or from the cloud's catalogue.
+ */
+
+/** This program's version, as package.json has it; a test compares the two. */
+export const VERSION = '0.1.0';
+
+// --- Protocol bounds -------------------------------------------------------------------------
+
+/** Bytes; the protocol's limit for a request body. */
+export const MAX_BODY_BYTES = 64 * 1024;
+/** Tasks; the protocol's limit for one job. */
+export const MAX_TASKS = 100_000;
+/** Ratio; the protocol's bound for the drift between two steady clocks, doubled for two of them. */
+export const CLOCK_DRIFT = 0.001;
+/** Machines; the protocol's limit for one rental request. */
+export const RENT_MAX = 50;
+/** Machines; the protocol's limit for one return request. */
+export const RETURN_MAX = 100;
+/** Machines; the protocol's limit for one page of the machine list. */
+export const LIST_PAGE = 500;
+/** Guards for each put that the state service allows in one transaction. */
+export const GUARDS_PER_OP = 4;
+/** Bytes; a transaction may hold 64 KiB; the rest is room for names and punctuation. */
+export const TXN_BYTES = 56 * 1024;
+
+// --- Time ------------------------------------------------------------------------------------
+
+/** ms; a state request is given up after this: answers take 10 ms, now and then a few hundred. */
+export const STATE_TIMEOUT_MS = 2_000;
+/** ms; cloud requests carry no one who waits, so they may take longer. */
+export const CLOUD_TIMEOUT_MS = 8_000;
+/** ms; life of a member's lease: long enough for a slow process, short enough to take over soon. */
+export const MEMBER_TTL_MS = 6_000;
+/** ms; renewals are sent this often, so three may fail before the lease ends. */
+export const MEMBER_RENEW_MS = 1_500;
+/** ms; a watch returns after this without a change, which confirms that the view is current. */
+export const WATCH_HOLD_MS = 1_000;
+/** ms; least time between two watch requests: changes close together share one answer. */
+export const WATCH_SPACING_MS = 120;
+/** ms; first and longest pause after a failed request; the pause doubles in between. */
+export const BACKOFF_FIRST_MS = 100;
+export const BACKOFF_LAST_MS = 2_000;
+/** ms; a node leaves a role to its home member this long after the member came up. */
+export const HOME_SETTLE_MS = 500;
+/** ms; safety on top of computed lease ends: timers fire late and answers take time. */
+export const LEASE_MARGIN_MS = 1_000;
+/** s; what must remain between the end of the last possible lease and `cancel_s`. */
+export const CANCEL_MARGIN_S = 5;
+/** ms; pace of the roles' loops when nothing woke them. */
+export const LOOP_MS = 500;
+/** ms; a loop woken by changes waits this long, so that changes close together share a round. */
+export const LOOP_GATHER_MS = 40;
+/** ms; submissions that come within this time share a transaction. */
+export const GROUP_COMMIT_MS = 15;
+/** ms; a poll may wait this long for its check before it is answered 503 (users wait 2 s). */
+export const POLL_LIMIT_MS = 1_700;
+/** ms; a submission or cancellation may wait this long for its commit (users wait 5 s). */
+export const SUBMIT_LIMIT_MS = 4_200;
+/** s; what a user is told to wait before asking again. */
+export const RETRY_AFTER_S = 1;
+/** ms; a worker that comes back within this time after a redirect could not reach the owner. */
+export const REDIRECT_RETRY_MS = 12_000;
+/** ms; a relayed report must be answered well within the worker's 4 s. */
+export const RELAY_TIMEOUT_MS = 2_500;
+/** ms; pause before a broken peer link is tried again. */
+export const PEER_RETRY_MS = 1_000;
+/** ms; the leader reads the catalogue again for current spot prices. */
+export const CATALOG_PERIOD_MS = 60_000;
+
+// --- Sizes -----------------------------------------------------------------------------------
+
+/** Bytes that one placed task may take in its chunk's record; bounds the tasks of a chunk. */
+export const CHUNK_TASK_BYTES = 56;
+/** Submissions waiting for their commit in one node; more are told to come back. */
+export const SUBMIT_QUEUE = 256;
+/** Polls and checks waiting in one node; more are told to come back. */
+export const CHECK_QUEUE = 512;
+/** Final states kept in memory; older ones are read from the state service again. */
+export const FINAL_CACHE = 20_000;
+/** Sockets left for the state service, the cloud and peers out of the limit. */
+export const RESERVED_SOCKETS = 100;
+/** Sockets to the state service beside the watch. */
+export const STATE_SOCKETS = 16;
+/** Bytes; a larger frame between peers is taken for a broken peer. */
+export const PEER_FRAME_BYTES = 1024 * 1024;
+/** Share of the state service's limits that one node may use: three nodes seldom peak together. */
+export const STATE_SHARE = 0.5;
+/** Share of the cloud's request limit the leader uses; a late leader may still be sending. */
+export const CLOUD_SHARE = 0.7;
+/** Commands of one report answer: keeps the line far below 64 KiB. */
+export const COMMANDS_MAX = 300;
+
+// --- Tokens and attempts ---------------------------------------------------------------------
+
+/** Token = term × this + bump, so that one machine can be fenced without a write. */
+export const TOKEN_STEP = 2 ** 16;
+/** Attempt = (term × ATTEMPT_PARTS + part's number) × ATTEMPT_STEP + counter, never used twice. */
+export const ATTEMPT_PARTS = 64;
+export const ATTEMPT_STEP = 2 ** 20;
+
+// --- Placement -------------------------------------------------------------------------------
+
+/** Task classes the bandit tells apart; the rest share one. The design's starting value. */
+export const CLASS_CAP = 20;
+/** s; first pause of a job whose tasks fail on machines, doubled with each failure in a row. */
+export const FAILURE_PAUSE_S = 2;
+export const FAILURE_PAUSE_MAX_S = 60;
+/** Errors of different jobs on one machine, without a success, that make it faulty. */
+export const FAULTY_ERRORS = 3;
+/** ms; a task that found no room in its part for so long goes back to the leader. */
+export const RELEASE_MS = 4_000;
+/** Report intervals without a report after which a machine takes no new tasks. */
+export const SILENT_REPORTS = 3;
+/** Machines in one status record: keeps it far below the smallest value limit. */
+export const STATUS_SHARD = 80;
+/** ms; an offer that the cloud could not fill is asked for again after this. */
+export const NO_CAPACITY_PAUSE_MS = 15_000;
+/** Boot times after which a machine that never reported is returned: some take several. */
+export const STUCK_BOOTS = 3;
+/** ms; how long a returned machine is remembered: far longer than any list is late. */
+export const GONE_KEEP_MS = 300_000;
+/** Silent machines returned at once at the most: more of them look like a cut, not like deaths. */
+export const SILENT_RETURN_MAX = 2;
+/** ms; the span within which no more than that many silent machines are returned. */
+export const SILENT_RETURN_PERIOD_MS = 60_000;
--- /dev/null
+++ b/src/coordination/fleet.ts
@@ -0,0 +1,418 @@
+import {
+  CATALOG_PERIOD_MS,
+  CLOUD_SHARE,
+  GONE_KEEP_MS,
+  NO_CAPACITY_PAUSE_MS,
+  RENT_MAX,
+  RETURN_MAX,
+  SILENT_RETURN_MAX,
+  SILENT_RETURN_PERIOD_MS,
+  STUCK_BOOTS,
+} from '../constants.js';
+import type { Committer } from '../bookkeeping/committer.js';
+import { CATALOG, MACHINES, machineKey } from '../bookkeeping/keys.js';
+import type { Log } from '../bookkeeping/log.js';
+import type { MachineRecord, MachineState } from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import type { CloudApi } from '../protocol/cloud-api.js';
+import type { Change, Guard } from '../protocol/state-api.js';
+import { rankOf, type ListedMachine, type MachineType } from '../protocol/terms.js';
+import { Budget } from '../transport/budget.js';
+import type { Clock } from '../transport/clock.js';
+import { howMany, mayUse, type Picture, type Slotted } from './leader.js';
+
+export interface FleetOptions {
+  term: number;
+  roleKey: string;
+  roleMark: number;
+  txnOps: number;
+  cloudRps: number;
+  listLagS: number;
+  idleMs: number;
+  headroomCpus: number;
+  spot: boolean;
+  maxMachines: number;
+  alive: () => boolean;
+}
+
+interface Room {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+interface Offer {
+  type: MachineType;
+  zone: string;
+  spot: boolean;
+  price: number;
+}
+
+/** The leader's hand on the cloud: which machines to rent, to take out of use and to return. */
+export class Fleet {
+  private readonly budget: Budget;
+  private readonly noCapacity = new Map<string, number>();
+  private readonly idleSince = new Map<string, number>();
+  private readonly silent = new Set<string>();
+  private silentReturns: number[] = [];
+  private readonly failed = new Set<string>();
+  private requests = 0;
+  private busy = false;
+  private listedAt = -Infinity;
+  private catalogAt = -Infinity;
+
+  constructor(
+    private readonly options: FleetOptions,
+    private readonly view: View,
+    private readonly committer: Committer,
+    private readonly cloud: CloudApi,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    const rate = options.cloudRps * CLOUD_SHARE;
+    this.budget = new Budget(clock, rate, Math.max(1, rate));
+  }
+
+  async round(picture: Picture): Promise<void> {
+    if (this.busy) return;
+    this.busy = true;
+    try {
+      await this.refreshCatalog();
+      if (!this.view.get(CATALOG)) return;
+      await this.returnMachines(picture);
+      await this.rent(picture);
+      await this.list();
+    } catch (error) {
+      this.log.info({ error: String(error) }, 'cloud did not answer');
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private mayCall(): boolean {
+    if (this.budget.waitFor(1) > 0) return false;
+    this.budget.spend(1);
+    return true;
+  }
+
+  private async refreshCatalog(): Promise<void> {
+    const now = this.clock.now();
+    if (now - this.catalogAt < CATALOG_PERIOD_MS || !this.mayCall()) return;
+    const types = await this.cloud.types();
+    if (!types) return;
+    this.catalogAt = now;
+    const held = this.view.get<MachineType[]>(CATALOG);
+    if (JSON.stringify(held?.value) === JSON.stringify(types)) return;
+    const guards = [
+      { key: this.options.roleKey, mark: this.options.roleMark },
+      { key: CATALOG, mark: held?.mark ?? 0 },
+    ];
+    await this.committer.commit(
+      'leader',
+      guards,
+      [{ key: CATALOG, value: types }],
+      this.options.alive,
+    );
+  }
+
+  /** Writes the leader's word on machines; false: not written. */
+  private async mark(
+    machines: { name: string; type: string; zone: string; spot: boolean }[],
+    state: MachineState,
+  ): Promise<boolean> {
+    for (let at = 0; at < machines.length; at += this.options.txnOps) {
+      const guards: Guard[] = [{ key: this.options.roleKey, mark: this.options.roleMark }];
+      const changes: Change[] = [];
+      for (const { name, type, zone, spot } of machines.slice(at, at + this.options.txnOps)) {
+        const key = machineKey(name);
+        const value: MachineRecord = { state, type, zone, spot, at: this.clock.wall() };
+        guards.push({ key, mark: this.view.markOf(key) });
+        changes.push({ key, value });
+      }
+      const result = await this.committer.commit('leader', guards, changes, this.options.alive);
+      if (result.kind !== 'done') return false;
+    }
+    return true;
+  }
+
+  // --- Returning -----------------------------------------------------------------------------
+
+  private async returnMachines(picture: Picture): Promise<void> {
+    await this.drainIdle(picture);
+    this.findSilent(picture);
+    const leave = this.toReturn(picture).slice(0, RETURN_MAX);
+    if (leave.length === 0 || !this.mayCall()) return;
+    const names = leave.map(([name]) => name);
+    if (!(await this.cloud.giveBack(names))) return;
+    this.log.info({ machines: names }, 'machines returned');
+    await this.mark(
+      leave.map(([name, record]) => ({ name, ...record })),
+      'gone',
+    );
+    for (const name of names) this.failed.delete(name);
+  }
+
+  /** Machines that nothing keeps from being returned now. */
+  private toReturn(picture: Picture): [string, MachineRecord][] {
+    const types = new Map(
+      (this.view.get<MachineType[]>(CATALOG)?.value ?? []).map((type) => [type.name, type]),
+    );
+    const wall = this.clock.wall();
+    const busy = new Set<string>();
+    for (const chunk of this.view.chunks().values()) {
+      for (const [name] of Object.values(chunk.live)) busy.add(name);
+    }
+    const bootingNames = new Set(
+      picture.machines.filter((one) => one.health === 'booting').map((one) => one.name),
+    );
+    const found: [string, MachineRecord][] = [];
+    for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
+      const name = key.slice(MACHINES.length);
+      const record = held.value;
+      if (record.state === 'gone') continue;
+      const boot = (types.get(record.type)?.bootS ?? 60) * 1000;
+      const stuck = bootingNames.has(name) && wall - record.at > boot * STUCK_BOOTS;
+      // Placements commit only before the drain mark, so a view that holds it shows them all.
+      const settled = this.view.revision >= held.mark;
+      const drained = record.state === 'drain' && settled && !busy.has(name);
+      if (drained || stuck || this.failed.has(name) || this.silent.has(name)) {
+        found.push([name, record]);
+      }
+    }
+    return found;
+  }
+
+  /**
+   * Machines that fell silent are returned, which proves their tasks gone sooner than their lease
+   * does. A few at a time only: many at once are a cut between them and their part.
+   */
+  private findSilent(picture: Picture): void {
+    const now = this.clock.now();
+    this.silent.clear();
+    const names = picture.machines.filter((one) => one.health === 'silent').map((one) => one.name);
+    this.silentReturns = this.silentReturns.filter((at) => now - at < SILENT_RETURN_PERIOD_MS);
+    if (names.length + this.silentReturns.length > SILENT_RETURN_MAX) return;
+    for (const name of names) {
+      this.silent.add(name);
+      this.silentReturns.push(now);
+    }
+  }
+
+  /** Takes out of use what is idle and not needed, faulty, or about to be taken. */
+  private async drainIdle(picture: Picture): Promise<void> {
+    const now = this.clock.now();
+    const present = new Set(picture.machines.map((one) => one.name));
+    for (const name of this.idleSince.keys()) {
+      if (!present.has(name)) this.idleSince.delete(name);
+    }
+    let headroom = 0;
+    for (const one of picture.machines) {
+      if (one.health === 'ok' && !one.spot) headroom += Math.max(0, one.cpus);
+    }
+    const drain: Slotted[] = [];
+    const sorted = [...picture.machines].sort((a, b) => b.cpus - a.cpus);
+    for (const machine of sorted) {
+      if (machine.health === 'faulty') drain.push(machine);
+      if (machine.health !== 'ok' || machine.tasks > 0 || picture.unmet.length > 0) {
+        this.idleSince.delete(machine.name);
+        continue;
+      }
+      const since = this.idleSince.get(machine.name) ?? now;
+      this.idleSince.set(machine.name, since);
+      if (now - since < this.options.idleMs) continue;
+      const loss = machine.spot ? 0 : Math.max(0, machine.cpus);
+      if (headroom - loss < this.options.headroomCpus && loss > 0) continue;
+      headroom -= loss;
+      drain.push(machine);
+    }
+    if (drain.length === 0) return;
+    if (await this.mark(drain, 'drain')) {
+      this.log.info({ machines: drain.map((one) => one.name) }, 'machines taken out of use');
+    }
+  }
+
+  // --- Renting -------------------------------------------------------------------------------
+
+  private async rent(picture: Picture): Promise<void> {
+    const wants = this.wanted(picture);
+    for (const { offer, count } of wants) {
+      if (!this.mayCall()) return;
+      const request = `r-${this.options.term}-${++this.requests}`;
+      const { type, zone, spot } = offer;
+      const result = await this.cloud.rent(
+        request,
+        type.name,
+        zone,
+        spot,
+        Math.min(count, RENT_MAX),
+      );
+      const got = result.kind === 'rented' ? result.machines.length : 0;
+      this.log.info({ type: type.name, zone, spot, count, got, result: result.kind }, 'renting');
+      if (result.kind === 'noCapacity' || (result.kind === 'rented' && got < count)) {
+        this.noCapacity.set(this.offerKey(offer), this.clock.now() + NO_CAPACITY_PAUSE_MS);
+      }
+      if (result.kind === 'rented') {
+        await this.mark(
+          result.machines.map((name) => ({ name, type: type.name, zone, spot })),
+          'rented',
+        );
+      }
+    }
+  }
+
+  private offerKey(offer: Offer): string {
+    return `${offer.type.name}/${offer.zone}/${offer.spot}`;
+  }
+
+  private offers(): Offer[] {
+    const now = this.clock.now();
+    const offers: Offer[] = [];
+    for (const type of this.view.get<MachineType[]>(CATALOG)?.value ?? []) {
+      for (const zone of type.zones) {
+        offers.push({ type, zone, spot: false, price: type.price });
+        if (this.options.spot) offers.push({ type, zone, spot: true, price: type.spotPrice });
+      }
+    }
+    return offers.filter((offer) => (this.noCapacity.get(this.offerKey(offer)) ?? 0) <= now);
+  }
+
+  /** What to rent: the cheapest offer for each kind of task that will not fit what is coming. */
+  private wanted(picture: Picture): { offer: Offer; count: number }[] {
+    const booting = picture.machines
+      .filter((one) => one.health === 'booting')
+      .map((one) => ({ ...one }));
+    const offers = this.offers();
+    const wants = new Map<string, { offer: Offer; count: number; rooms: Room[] }>();
+    let size = picture.machines.length;
+    const need = [...picture.unmet].sort(
+      (a, b) => rankOf(b.spec.priority) - rankOf(a.spec.priority),
+    );
+    for (const { spec, count } of need) {
+      let left = count;
+      const fill = (rooms: Room[]): void => {
+        for (const room of rooms) {
+          const some = Math.min(left, howMany(room, spec));
+          room.cpus -= some * spec.cpus;
+          room.gpus -= some * spec.gpus;
+          room.memoryGb -= some * spec.memoryGb;
+          left -= some;
+          if (left === 0) return;
+        }
+      };
+      fill(booting.filter((one) => mayUse(spec, one)));
+      for (const want of wants.values()) {
+        if (mayUse(spec, { ...want.offer, type: want.offer.type.name })) fill(want.rooms);
+      }
+      while (left > 0 && size < this.options.maxMachines) {
+        const best = this.cheapest(offers, spec, left);
+        if (!best) break;
+        const key = this.offerKey(best);
+        const want = wants.get(key) ?? { offer: best, count: 0, rooms: [] };
+        wants.set(key, want);
+        if (want.count >= RENT_MAX) break;
+        want.count++;
+        size++;
+        const room = {
+          cpus: best.type.cpus,
+          gpus: best.type.gpus,
+          memoryGb: best.type.memoryGb,
+        };
+        want.rooms.push(room);
+        fill([room]);
+      }
+    }
+    this.addHeadroom(picture, booting, offers, wants);
+    return [...wants.values()].map(({ offer, count }) => ({ offer, count }));
+  }
+
+  /** Free room on ordinary machines, kept so that urgent work need not wait for a boot. */
+  private addHeadroom(
+    picture: Picture,
+    booting: Slotted[],
+    offers: Offer[],
+    wants: Map<string, { offer: Offer; count: number; rooms: Room[] }>,
+  ): void {
+    let free = 0;
+    for (const one of [...picture.machines.filter((each) => each.health === 'ok'), ...booting]) {
+      if (!one.spot) free += Math.max(0, one.cpus);
+    }
+    for (const want of wants.values()) {
+      if (!want.offer.spot) for (const room of want.rooms) free += Math.max(0, room.cpus);
+    }
+    const missing = this.options.headroomCpus - free;
+    if (missing <= 0) return;
+    const offer = offers
+      .filter((one) => !one.spot)
+      .sort((a, b) => a.price / a.type.cpus - b.price / b.type.cpus)[0];
+    if (!offer) return;
+    const key = this.offerKey(offer);
+    const want = wants.get(key) ?? { offer, count: 0, rooms: [] };
+    want.count = Math.min(RENT_MAX, want.count + Math.ceil(missing / offer.type.cpus));
+    wants.set(key, want);
+  }
+
+  /** By price for each task that it would really hold. */
+  private cheapest(
+    offers: Offer[],
+    spec: Parameters<typeof mayUse>[0],
+    left: number,
+  ): Offer | null {
+    let best: Offer | null = null;
+    let bestPrice = Infinity;
+    for (const offer of offers) {
+      if (!mayUse(spec, { type: offer.type.name, zone: offer.zone, spot: offer.spot })) continue;
+      const holds = Math.min(left, howMany(offer.type, spec));
+      if (holds === 0) continue;
+      const price = offer.price / holds;
+      if (price < bestPrice) {
+        best = offer;
+        bestPrice = price;
+      }
+    }
+    return best;
+  }
+
+  // --- The machine list ----------------------------------------------------------------------
+
+  /** Reads the whole list now and then: machines nobody here knows, and machines that failed. */
+  private async list(): Promise<void> {
+    const now = this.clock.now();
+    if (now - this.listedAt < Math.max(5, this.options.listLagS) * 1000) return;
+    this.listedAt = now;
+    const listed: ListedMachine[] = [];
+    for (let after = ''; ;) {
+      if (!this.mayCall()) return;
+      const page = await this.cloud.list(after);
+      if (!page) return;
+      listed.push(...page.machines);
+      after = page.machines.at(-1)?.name ?? after;
+      if (!page.more || page.machines.length === 0) break;
+    }
+    const unknown = listed.filter((one) => !this.view.get(machineKey(one.name)));
+    if (unknown.length > 0) {
+      this.log.info({ machines: unknown.map((one) => one.name) }, 'machines adopted from the list');
+      await this.mark(unknown, 'rented');
+    }
+    for (const one of listed) {
+      const record = this.view.get<MachineRecord>(machineKey(one.name))?.value;
+      if (one.state === 'failed' && record && record.state !== 'gone') this.failed.add(one.name);
+    }
+    await this.forgetGone(new Set(listed.map((one) => one.name)));
+  }
+
+  /** Records of machines long gone go, once no late list can bring them back. */
+  private async forgetGone(listed: Set<string>): Promise<void> {
+    const wall = this.clock.wall();
+    const changes: Change[] = [];
+    const guards: Guard[] = [{ key: this.options.roleKey, mark: this.options.roleMark }];
+    for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
+      if (held.value.state !== 'gone' || listed.has(key.slice(MACHINES.length))) continue;
+      if (wall - held.value.at < GONE_KEEP_MS || changes.length >= this.options.txnOps) continue;
+      guards.push({ key, mark: held.mark });
+      changes.push({ key, remove: true });
+    }
+    if (changes.length > 0) {
+      await this.committer.commit('leader', guards, changes, this.options.alive);
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/front.ts
@@ -0,0 +1,354 @@
+import {
+  CHECK_QUEUE,
+  GROUP_COMMIT_MS,
+  GUARDS_PER_OP,
+  POLL_LIMIT_MS,
+  RETRY_AFTER_S,
+  SUBMIT_LIMIT_MS,
+  SUBMIT_QUEUE,
+  TXN_BYTES,
+} from '../constants.js';
+import type { Committer } from '../bookkeeping/committer.js';
+import type { Gate } from '../bookkeeping/gate.js';
+import { CATALOG, finalKey, jobKey } from '../bookkeeping/keys.js';
+import type { Log } from '../bookkeeping/log.js';
+import type { FinalRecord, JobRecord } from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import type { Change, Guard, StateApi } from '../protocol/state-api.js';
+import type { Team } from '../protocol/settings.js';
+import type { JobSpec, JobState, MachineType } from '../protocol/terms.js';
+import {
+  encodeJobState,
+  encodeJobView,
+  isJobId,
+  parseJson,
+  parseSubmission,
+  submissionId,
+} from '../protocol/user-codec.js';
+import type { Clock } from '../transport/clock.js';
+import type { HttpReply } from '../transport/http-server.js';
+
+/** What the state service holds on a job at the moment of asking; null: nothing. */
+type Known = { state: JobState; done: number; running: number; final: boolean } | null;
+
+interface Check {
+  id: string;
+  jobMark: number;
+  resolve: (known: Known | 'unsure') => void;
+  settled: boolean;
+}
+
+interface Submission {
+  spec: JobSpec;
+  resolve: (result: 'accepted' | 'known' | 'unsure') => void;
+  settled: boolean;
+}
+
+/** Why a job can never run, or null. 'unknown': the machine types are not known yet. */
+export function neverRuns(
+  spec: JobSpec,
+  teams: readonly Team[],
+  types: readonly MachineType[] | null,
+): string | 'unknown' | null {
+  const team = teams.find((one) => one.name === spec.team);
+  if (!team) return `crew: no team ${spec.team}`;
+  const times = spec.kind === 'service' ? spec.tasks : 1;
+  if (spec.cpus * times > team.cpusMax || spec.gpus * times > team.gpusMax) {
+    return 'cores: more than the team may use';
+  }
+  if (types === null) return 'unknown';
+  const fit = types.some(
+    (type) =>
+      (spec.types === null || spec.types.includes(type.name)) &&
+      (spec.zone === null || type.zones.includes(spec.zone)) &&
+      type.cpus >= spec.cpus &&
+      type.gpus >= spec.gpus &&
+      type.memoryGb >= spec.memoryGb,
+  );
+  return fit ? null : 'larvae: a task fits no allowed machine type';
+}
+
+const later = (status: number, error: string): HttpReply => ({
+  status,
+  body: { error },
+  retryAfterS: RETRY_AFTER_S,
+});
+
+/** Serves users. Nothing is told to one before the state service holds it. */
+export class Front {
+  private readonly checks: Check[] = [];
+  private readonly submissions: Submission[] = [];
+  private checking = false;
+  private committing = 0;
+
+  constructor(
+    private readonly teams: readonly Team[],
+    private readonly txnOps: number,
+    private readonly view: View,
+    private readonly api: StateApi,
+    private readonly gate: Gate,
+    private readonly committer: Committer,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly committed: () => void,
+  ) {}
+
+  get ready(): boolean {
+    return this.view.loaded;
+  }
+
+  // --- Submissions ---------------------------------------------------------------------------
+
+  async submit(text: string | null): Promise<HttpReply> {
+    const json = parseJson(text);
+    if (!json.ok) return { status: 400, body: { error: json.error } };
+    const id = submissionId(json.value);
+    if (id === null) return { status: 400, body: { error: 'ref: must look like j-000412' } };
+    if (!this.view.loaded) return later(503, 'starting');
+    // A known id is answered first, whatever else the body says.
+    const known = this.knownHere(id);
+    if (known) return { status: 200, body: encodeJobState(id, known.state) };
+    const parsed = parseSubmission(json.value);
+    const types = this.view.get<MachineType[]>(CATALOG)?.value ?? null;
+    const reason = parsed.ok ? neverRuns(parsed.value, this.teams, types) : parsed.error;
+    if (!parsed.ok || reason !== null) {
+      const stored = await this.check(id, SUBMIT_LIMIT_MS);
+      if (stored === 'unsure') return later(503, 'state service does not answer');
+      if (stored) return { status: 200, body: encodeJobState(id, stored.state) };
+      if (!parsed.ok) return { status: 400, body: { error: reason } };
+      if (reason === 'unknown') return later(503, 'machine types not known yet');
+      return { status: 422, body: { error: reason } };
+    }
+    if (this.submissions.length >= SUBMIT_QUEUE) return later(429, 'too many submissions');
+    const result = await this.accept(parsed.value);
+    if (result === 'accepted') return { status: 201, body: encodeJobState(id, 'queued') };
+    if (result === 'known') {
+      const stored = this.knownHere(id) ?? (await this.check(id, POLL_LIMIT_MS));
+      if (stored && stored !== 'unsure') {
+        return { status: 200, body: encodeJobState(id, stored.state) };
+      }
+    }
+    return later(503, 'not committed in time');
+  }
+
+  private accept(spec: JobSpec): Promise<'accepted' | 'known' | 'unsure'> {
+    return new Promise((resolve) => {
+      const submission: Submission = { spec, resolve, settled: false };
+      this.submissions.push(submission);
+      this.clock.after(SUBMIT_LIMIT_MS, () => this.settle(submission, 'unsure'));
+      if (this.committing === 0) {
+        this.committing++;
+        this.clock.after(GROUP_COMMIT_MS, () => void this.commitGroups());
+      }
+    });
+  }
+
+  private settle(submission: Submission, result: 'accepted' | 'known' | 'unsure'): void {
+    if (submission.settled) return;
+    submission.settled = true;
+    submission.resolve(result);
+  }
+
+  private async commitGroups(): Promise<void> {
+    try {
+      while (this.submissions.length > 0) await this.commitGroup();
+    } catch (error) {
+      this.log.warn({ error: String(error) }, 'submissions not committed');
+    } finally {
+      this.committing--;
+    }
+  }
+
+  private async commitGroup(): Promise<void> {
+    let group: Submission[] = [];
+    let bytes = 0;
+    const ids = new Set<string>();
+    while (group.length < this.txnOps && this.submissions.length > 0) {
+      const next = this.submissions[0];
+      if (!next || ids.has(next.spec.id)) break;
+      bytes += JSON.stringify(next.spec).length + 400;
+      if (group.length > 0 && bytes > TXN_BYTES) break;
+      this.submissions.shift();
+      if (next.settled) continue;
+      ids.add(next.spec.id);
+      group.push(next);
+    }
+    while (group.length > 0) {
+      const guards: Guard[] = [];
+      const changes: Change[] = [];
+      for (const { spec } of group) {
+        const value: JobRecord = { spec, at: this.clock.wall() };
+        guards.push({ key: jobKey(spec.id), mark: 0 }, { key: finalKey(spec.id), mark: 0 });
+        changes.push({ key: jobKey(spec.id), value });
+      }
+      const waiting = group;
+      const result = await this.committer.commit('submit', guards, changes, () =>
+        waiting.some((one) => !one.settled),
+      );
+      if (result.kind === 'done') {
+        for (const one of group) this.settle(one, 'accepted');
+        this.committed();
+        return;
+      }
+      if (result.kind === 'givenUp') {
+        for (const one of group) this.settle(one, 'unsure');
+        return;
+      }
+      const failed = new Set(result.failed);
+      const isKnown = ({ spec }: Submission): boolean =>
+        failed.has(jobKey(spec.id)) || failed.has(finalKey(spec.id));
+      const known = group.filter(isKnown);
+      for (const one of known) this.settle(one, 'known');
+      group = group.filter((one) => !isKnown(one) && !one.settled);
+      if (known.length === 0) {
+        // Refused for no reason that these jobs give.
+        for (const one of group) this.settle(one, 'unsure');
+        return;
+      }
+    }
+  }
+
+  // --- Polls ---------------------------------------------------------------------------------
+
+  async poll(id: string): Promise<HttpReply> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    if (!this.view.loaded) return later(503, 'starting');
+    const final = this.view.final(id);
+    const known = final ? this.describeFinal(final) : await this.check(id, POLL_LIMIT_MS);
+    if (known === 'unsure') return later(503, 'state service does not answer');
+    if (!known) return { status: 404, body: { error: 'no such job' } };
+    return { status: 200, body: encodeJobView(id, known.state, known.done, known.running) };
+  }
+
+  private describeFinal(record: FinalRecord): NonNullable<Known> {
+    const done = record.state === 'done' ? record.tasks : 0;
+    return { state: record.state, done, running: 0, final: true };
+  }
+
+  private describeLive(id: string): NonNullable<Known> {
+    let done = 0;
+    let running = 0;
+    for (const chunk of this.view.chunksOf(id)) {
+      done += chunk.done;
+      running += chunk.liveCount;
+    }
+    return { state: running > 0 ? 'running' : 'queued', done, running, final: false };
+  }
+
+  /** What this node holds, right or late. */
+  private knownHere(id: string): Known {
+    const final = this.view.final(id);
+    if (final) return this.describeFinal(final);
+    return this.view.get(jobKey(id)) ? this.describeLive(id) : null;
+  }
+
+  /** What the state service holds now: many jobs share one comparing transaction. */
+  private check(id: string, limitMs: number): Promise<Known | 'unsure'> {
+    if (this.checks.length >= CHECK_QUEUE) return Promise.resolve('unsure');
+    return new Promise((resolve) => {
+      const check: Check = { id, jobMark: this.view.markOf(jobKey(id)), resolve, settled: false };
+      this.checks.push(check);
+      this.clock.after(limitMs, () => this.answer(check, 'unsure'));
+      if (!this.checking) {
+        this.checking = true;
+        this.clock.after(GROUP_COMMIT_MS, () => void this.runChecks());
+      }
+    });
+  }
+
+  private answer(check: Check, known: Known | 'unsure'): void {
+    if (check.settled) return;
+    check.settled = true;
+    check.resolve(known);
+  }
+
+  private async runChecks(): Promise<void> {
+    const perTxn = Math.max(1, Math.floor((this.txnOps * GUARDS_PER_OP) / 2));
+    while (this.checks.length > 0) {
+      const group = this.checks.splice(0, perTxn).filter((check) => !check.settled);
+      if (group.length === 0) continue;
+      try {
+        await this.checkGroup(group);
+      } catch (error) {
+        this.log.debug({ error: String(error) }, 'checks failed');
+        for (const check of group) this.answer(check, 'unsure');
+      }
+    }
+    this.checking = false;
+  }
+
+  private async checkGroup(group: Check[]): Promise<void> {
+    const guards = new Map<string, Guard>();
+    for (const { id, jobMark } of group) {
+      guards.set(jobKey(id), { key: jobKey(id), mark: jobMark });
+      guards.set(finalKey(id), { key: finalKey(id), mark: 0 });
+    }
+    await this.gate.pass('check', 0);
+    const result = await this.api.txn([...guards.values()], []);
+    const failed = new Set(result.ok ? [] : result.failed);
+    for (const check of group) {
+      const { id } = check;
+      if (!failed.has(jobKey(id)) && !failed.has(finalKey(id))) {
+        // As the view had it when the check was made: there, or nowhere at all.
+        this.answer(check, check.jobMark === 0 ? null : this.describeLive(id));
+        continue;
+      }
+      // The job's record goes in the change that makes its final state: the order matters.
+      await this.gate.pass('check', 0);
+      const live = await this.api.get(jobKey(id));
+      if (live) {
+        this.view.applyOwn([{ key: jobKey(id), value: live.value, mark: live.mark }]);
+        this.answer(check, this.describeLive(id));
+        continue;
+      }
+      await this.gate.pass('check', 0);
+      const final = await this.api.get(finalKey(id));
+      if (final) this.view.keepFinal(id, final.value as FinalRecord);
+      this.answer(check, final ? this.describeFinal(final.value as FinalRecord) : null);
+    }
+  }
+
+  // --- Cancelling ----------------------------------------------------------------------------
+
+  async cancel(id: string): Promise<HttpReply> {
+    if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
+    if (!this.view.loaded) return later(503, 'starting');
+    const deadline = this.clock.now() + SUBMIT_LIMIT_MS;
+    while (this.clock.now() < deadline) {
+      const final = this.view.final(id);
+      if (final) return { status: 200, body: encodeJobState(id, final.state) };
+      const held = this.view.get<JobRecord>(jobKey(id));
+      if (!held) {
+        const known = await this.check(id, POLL_LIMIT_MS);
+        if (known === 'unsure') break;
+        if (!known) return { status: 404, body: { error: 'no such job' } };
+        if (known.final) return { status: 200, body: encodeJobState(id, known.state) };
+        continue;
+      }
+      const value: FinalRecord = { state: 'cancelled', tasks: held.value.spec.tasks };
+      const result = await this.committer.commit(
+        'check',
+        [
+          { key: jobKey(id), mark: held.mark },
+          { key: finalKey(id), mark: 0 },
+        ],
+        [
+          { key: jobKey(id), remove: true },
+          { key: finalKey(id), value },
+        ],
+        () => this.clock.now() < deadline,
+      );
+      if (result.kind === 'done') {
+        this.committed();
+        return { status: 200, body: encodeJobState(id, 'cancelled') };
+      }
+      if (result.kind === 'givenUp') break;
+      const known = await this.check(id, POLL_LIMIT_MS);
+      if (known !== 'unsure' && known?.final) {
+        return { status: 200, body: encodeJobState(id, known.state) };
+      }
+      if (known === null) return { status: 404, body: { error: 'no such job' } };
+    }
+    return later(503, 'not committed in time');
+  }
+}
--- /dev/null
+++ b/src/coordination/leader.ts
@@ -0,0 +1,475 @@
+import { CHUNK_TASK_BYTES, GUARDS_PER_OP } from '../constants.js';
+import type { Committer } from '../bookkeeping/committer.js';
+import {
+  CATALOG,
+  JOBS,
+  MACHINES,
+  STATUSES,
+  chunkKey,
+  finalKey,
+  jobKey,
+} from '../bookkeeping/keys.js';
+import type { Log } from '../bookkeeping/log.js';
+import { writeRanges } from '../bookkeeping/ranges.js';
+import type {
+  ChunkRecord,
+  ChunkSummary,
+  FinalRecord,
+  JobRecord,
+  MachineHealth,
+  MachineRecord,
+  StatusRecord,
+} from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import type { Change, Guard } from '../protocol/state-api.js';
+import { rankOf, type JobSpec, type MachineType } from '../protocol/terms.js';
+import type { Team } from '../protocol/settings.js';
+import { partOf, type Member } from './rendezvous.js';
+
+/** A machine as the leader counts it. */
+export interface Slotted {
+  name: string;
+  part: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  health: MachineHealth | 'booting';
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  /** Tasks placed on it. */
+  tasks: number;
+  /** CPUs of tasks that rank below `high`: what urgent work could take. */
+  lowCpus: number;
+}
+
+/** Tasks of a job for which no room was found. */
+export interface Unmet {
+  spec: JobSpec;
+  count: number;
+}
+
+export interface Picture {
+  machines: Slotted[];
+  unmet: Unmet[];
+}
+
+interface Usage {
+  cpus: number;
+  gpus: number;
+}
+
+interface Open {
+  id: string;
+  spec: JobSpec;
+  at: number;
+  chunks: ChunkSummary[];
+  unassigned: number;
+  /** Fits into its team's guarantee together with the team's earlier jobs. */
+  guaranteed: boolean;
+}
+
+export interface LeaderOptions {
+  term: number;
+  roleKey: string;
+  roleMark: number;
+  txnOps: number;
+  valueBytes: number;
+  teams: readonly Team[];
+  members: readonly Member[];
+  alive: () => boolean;
+}
+
+const need = (spec: { cpus: number; gpus: number; memoryGb: number }, times: number) => ({
+  cpus: spec.cpus * times,
+  gpus: spec.gpus * times,
+  memoryGb: spec.memoryGb * times,
+});
+
+/** How many tasks of a kind fit into a room. */
+export function howMany(
+  room: { cpus: number; gpus: number; memoryGb: number },
+  task: { cpus: number; gpus: number; memoryGb: number },
+): number {
+  const slack = 1e-9;
+  let count = Infinity;
+  if (task.cpus > 0) count = Math.min(count, Math.floor(room.cpus / task.cpus + slack));
+  if (task.gpus > 0) count = Math.min(count, Math.floor(room.gpus / task.gpus + slack));
+  if (task.memoryGb > 0) {
+    count = Math.min(count, Math.floor(room.memoryGb / task.memoryGb + slack));
+  }
+  return Math.max(0, count);
+}
+
+export function mayUse(
+  spec: JobSpec,
+  machine: { type: string; zone: string; spot: boolean },
+): boolean {
+  return (
+    (spec.types === null || spec.types.includes(machine.type)) &&
+    (spec.zone === null || spec.zone === machine.zone) &&
+    (spec.spot || !machine.spot)
+  );
+}
+
+/**
+ * The leader: orders the work, hands ranges of tasks to parts by free room, keeps team limits and
+ * the zones of jobs, and ends jobs whose tasks are all done.
+ */
+export class Leader {
+  private counter = 0;
+  private busy = false;
+  picture: Picture = { machines: [], unmet: [] };
+
+  constructor(
+    private readonly options: LeaderOptions,
+    private readonly view: View,
+    private readonly committer: Committer,
+    private readonly log: Log,
+  ) {}
+
+  async round(): Promise<void> {
+    if (this.busy) return;
+    this.busy = true;
+    try {
+      await this.finishJobs();
+      await this.assign();
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private guards(): Guard[] {
+    return [{ key: this.options.roleKey, mark: this.options.roleMark }];
+  }
+
+  // --- Ending jobs ---------------------------------------------------------------------------
+
+  private async finishJobs(): Promise<void> {
+    const over: { id: string; mark: number; tasks: number }[] = [];
+    for (const [key, held] of this.view.below<JobRecord>(JOBS)) {
+      const { spec } = held.value;
+      if (spec.kind !== 'array') continue;
+      let done = 0;
+      for (const chunk of this.view.chunksOf(spec.id)) done += chunk.done;
+      if (done >= spec.tasks) {
+        over.push({ id: key.slice(JOBS.length), mark: held.mark, tasks: spec.tasks });
+      }
+    }
+    const perTxn = Math.max(1, Math.floor(this.options.txnOps / 2));
+    for (let at = 0; at < over.length; at += perTxn) {
+      const group = over.slice(at, at + perTxn);
+      const guards = this.guards();
+      const changes: Change[] = [];
+      for (const { id, mark, tasks } of group) {
+        const value: FinalRecord = { state: 'done', tasks };
+        guards.push({ key: jobKey(id), mark });
+        changes.push({ key: jobKey(id), remove: true }, { key: finalKey(id), value });
+      }
+      const result = await this.committer.commit('leader', guards, changes, this.options.alive);
+      this.log.info({ jobs: group.map((one) => one.id), result: result.kind }, 'jobs done');
+      if (result.kind === 'givenUp') return;
+    }
+  }
+
+  // --- Assigning -----------------------------------------------------------------------------
+
+  private machines(): Map<string, Slotted> {
+    const types = new Map(
+      (this.view.get<MachineType[]>(CATALOG)?.value ?? []).map((type) => [type.name, type]),
+    );
+    const machines = new Map<string, Slotted>();
+    const add = (
+      name: string,
+      part: string,
+      typeName: string,
+      zone: string,
+      spot: boolean,
+      health: Slotted['health'],
+    ): void => {
+      const type = types.get(typeName);
+      if (!type) return;
+      machines.set(name, {
+        name,
+        part,
+        type: typeName,
+        zone,
+        spot,
+        health,
+        cpus: type.cpus,
+        gpus: type.gpus,
+        memoryGb: type.memoryGb,
+        tasks: 0,
+        lowCpus: 0,
+      });
+    };
+    for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
+      const { state, type, zone, spot } = held.value;
+      if (state !== 'rented') continue;
+      const name = key.slice(MACHINES.length);
+      add(name, partOf(name, zone, this.options.members), type, zone, spot, 'booting');
+    }
+    for (const [key, held] of this.view.below<StatusRecord>(STATUSES)) {
+      const part = key.slice(STATUSES.length).split('/')[0] ?? '';
+      for (const [name, [type, zone, spot, health]] of Object.entries(held.value.machines)) {
+        const word = this.view.get<MachineRecord>(`${MACHINES}${name}`)?.value.state;
+        if (word === 'drain' || word === 'gone') continue;
+        add(name, part, type, zone, spot === 1, health);
+      }
+    }
+    return machines;
+  }
+
+  private async assign(): Promise<void> {
+    const machines = this.machines();
+    const used = new Map<string, Usage>();
+    const open = this.openJobs(used, machines);
+    const unmet: Unmet[] = [];
+    const changes: { key: string; value: ChunkRecord }[] = [];
+    for (const job of open) {
+      if (job.unassigned === 0) continue;
+      const team = this.options.teams.find((one) => one.name === job.spec.team);
+      const use = used.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+      used.set(job.spec.team, use);
+      const room = { cpus: 0, gpus: 0, memoryGb: 0 };
+      room.cpus = (team?.cpusMax ?? 0) - use.cpus;
+      room.gpus = (team?.gpusMax ?? 0) - use.gpus;
+      const allowed = Math.min(
+        job.unassigned,
+        howMany(room, { ...need(job.spec, 1), memoryGb: 0 }),
+      );
+      if (allowed <= 0) continue;
+      const given = this.spreadOut(job, allowed, machines, changes);
+      use.cpus += job.spec.cpus * given;
+      use.gpus += job.spec.gpus * given;
+      if (given < allowed) unmet.push({ spec: job.spec, count: allowed - given });
+    }
+    this.picture = { machines: [...machines.values()], unmet };
+    for (let at = 0; at < changes.length; at += this.options.txnOps) {
+      const group = changes.slice(at, at + this.options.txnOps);
+      const jobs = new Set(group.map((one) => one.key.split('/').at(-2) ?? ''));
+      const guards = this.guards();
+      for (const one of group) guards.push({ key: one.key, mark: 0 });
+      // A job that is cancelled meanwhile gets no chunk.
+      for (const job of jobs) {
+        if (guards.length < this.options.txnOps * GUARDS_PER_OP) {
+          guards.push({ key: jobKey(job), mark: this.view.markOf(jobKey(job)) });
+        }
+      }
+      const result = await this.committer.commit('leader', guards, group, this.options.alive);
+      this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
+      if (result.kind !== 'done') return;
+    }
+  }
+
+  /** Jobs in the order of their turn, and what each team uses; takes room for what is assigned. */
+  private openJobs(used: Map<string, Usage>, machines: Map<string, Slotted>): Open[] {
+    for (const chunk of this.view.chunks().values()) {
+      const active = chunk.ids.length - chunk.done;
+      const use = used.get(chunk.team) ?? { cpus: 0, gpus: 0 };
+      use.cpus += active * chunk.cpus;
+      use.gpus += active * chunk.gpus;
+      used.set(chunk.team, use);
+      const spec = this.view.get<JobRecord>(jobKey(chunk.job))?.value.spec;
+      const low = spec === undefined || rankOf(spec.priority) < rankOf('high');
+      for (const [name] of Object.values(chunk.live)) {
+        const machine = machines.get(name);
+        if (!machine) continue;
+        machine.cpus -= chunk.cpus;
+        machine.gpus -= chunk.gpus;
+        machine.memoryGb -= chunk.memoryGb;
+        machine.tasks++;
+        if (low) machine.lowCpus += chunk.cpus;
+      }
+    }
+    // Tasks that wait in a part take room there too, as first fit will give it to them.
+    for (const chunk of this.view.chunks().values()) {
+      let waiting = chunk.ids.length - chunk.done - chunk.liveCount;
+      const spec = this.view.get<JobRecord>(jobKey(chunk.job))?.value.spec;
+      if (waiting === 0 || !spec) continue;
+      for (const machine of machines.values()) {
+        if (waiting === 0) break;
+        if (machine.part !== chunk.part || machine.health !== 'ok') continue;
+        if (machine.zone !== chunk.zone || !mayUse(spec, machine)) continue;
+        const count = Math.min(waiting, howMany(machine, spec));
+        this.occupy(machine, spec, count);
+        waiting -= count;
+      }
+    }
+    return this.order(used);
+  }
+
+  private occupy(machine: Slotted, spec: JobSpec, count: number): void {
+    const taken = need(spec, count);
+    machine.cpus -= taken.cpus;
+    machine.gpus -= taken.gpus;
+    machine.memoryGb -= taken.memoryGb;
+    machine.tasks += count;
+  }
+
+  private order(used: Map<string, Usage>): Open[] {
+    const jobs: Open[] = [];
+    for (const [, held] of this.view.below<JobRecord>(JOBS)) {
+      const { spec, at } = held.value;
+      const chunks = this.view.chunksOf(spec.id);
+      let assigned = 0;
+      for (const chunk of chunks) assigned += chunk.ids.length;
+      jobs.push({
+        id: spec.id,
+        spec,
+        at,
+        chunks,
+        unassigned: Math.max(0, spec.tasks - assigned),
+        guaranteed: false,
+      });
+    }
+    jobs.sort((a, b) => a.at - b.at);
+    const claimed = new Map<string, Usage>();
+    for (const job of jobs) {
+      const team = this.options.teams.find((one) => one.name === job.spec.team);
+      const claim = claimed.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
+      claim.cpus += job.spec.cpus * job.spec.tasks;
+      claim.gpus += job.spec.gpus * job.spec.tasks;
+      claimed.set(job.spec.team, claim);
+      job.guaranteed = claim.cpus <= (team?.cpus ?? 0) && claim.gpus <= (team?.gpus ?? 0);
+    }
+    const due = (job: Open): number =>
+      job.spec.deadlineS === null ? Infinity : job.at + job.spec.deadlineS * 1000;
+    const share = (job: Open): number => {
+      const team = this.options.teams.find((one) => one.name === job.spec.team);
+      return (used.get(job.spec.team)?.cpus ?? 0) / Math.max(1, team?.cpus ?? 0);
+    };
+    return jobs
+      .filter((job) => job.unassigned > 0)
+      .sort(
+        (a, b) =>
+          rankOf(b.spec.priority) - rankOf(a.spec.priority) ||
+          Number(b.guaranteed) - Number(a.guaranteed) ||
+          (due(a) === due(b) ? 0 : due(a) - due(b)) ||
+          share(a) - share(b) ||
+          a.at - b.at,
+      );
+  }
+
+  /** Gives up to `allowed` tasks to parts with room; returns how many. */
+  private spreadOut(
+    job: Open,
+    allowed: number,
+    machines: Map<string, Slotted>,
+    changes: { key: string; value: ChunkRecord }[],
+  ): number {
+    const { spec } = job;
+    const rooms = new Map<string, { part: string; zone: string; count: number }>();
+    const note = (machine: Slotted, count: number): void => {
+      const key = `${machine.part}\n${machine.zone}`;
+      const room = rooms.get(key) ?? { part: machine.part, zone: machine.zone, count: 0 };
+      room.count += count;
+      rooms.set(key, room);
+    };
+    for (const machine of machines.values()) {
+      if (machine.health !== 'ok' || !mayUse(spec, machine)) continue;
+      const count = howMany(machine, spec);
+      if (count > 0) note(machine, count);
+    }
+    if (rooms.size === 0 && rankOf(spec.priority) >= rankOf('high')) {
+      // No free room: the part may stop lower work for it.
+      for (const machine of machines.values()) {
+        if (machine.health !== 'ok' || !mayUse(spec, machine)) continue;
+        const count = howMany({ ...machine, cpus: machine.cpus + machine.lowCpus }, spec);
+        if (count > 0) note(machine, count);
+      }
+    }
+    const zones = this.zoneRooms(job, allowed, [...rooms.values()]);
+    let left = allowed;
+    const free = this.freeIds(job);
+    for (const room of [...rooms.values()].sort((a, b) => b.count - a.count)) {
+      const count = Math.min(left, room.count, zones.get(room.zone) ?? 0);
+      if (count <= 0) continue;
+      zones.set(room.zone, (zones.get(room.zone) ?? 0) - count);
+      left -= count;
+      const ids = free.splice(0, count);
+      const perChunk = Math.max(1, Math.floor(this.options.valueBytes / CHUNK_TASK_BYTES));
+      for (let at = 0; at < ids.length; at += perChunk) {
+        const number = this.options.term * 1e6 + ++this.counter;
+        changes.push({
+          key: chunkKey(room.part, job.id, number),
+          value: {
+            ids: writeRanges(ids.slice(at, at + perChunk)),
+            done: '',
+            live: {},
+            team: spec.team,
+            cpus: spec.cpus,
+            gpus: spec.gpus,
+            memoryGb: spec.memoryGb,
+            zone: room.zone,
+          },
+        });
+      }
+      this.fillRoom(spec, room, count, machines);
+    }
+    return allowed - left;
+  }
+
+  private fillRoom(
+    spec: JobSpec,
+    room: { part: string; zone: string },
+    count: number,
+    machines: Map<string, Slotted>,
+  ): void {
+    let left = count;
+    for (const machine of machines.values()) {
+      if (left === 0) return;
+      if (machine.part !== room.part || machine.zone !== room.zone) continue;
+      if (machine.health !== 'ok' || !mayUse(spec, machine)) continue;
+      const some = Math.min(left, howMany(machine, spec));
+      this.occupy(machine, spec, some);
+      left -= some;
+    }
+    for (const machine of machines.values()) {
+      if (left === 0) return;
+      if (machine.part !== room.part || machine.lowCpus < spec.cpus) continue;
+      const some = Math.min(left, Math.floor(machine.lowCpus / spec.cpus));
+      machine.lowCpus -= some * spec.cpus;
+      left -= some;
+    }
+  }
+
+  /** How many tasks of the job each zone may still take, by `oneZone` and `spread`. */
+  private zoneRooms(
+    job: Open,
+    allowed: number,
+    rooms: { zone: string; count: number }[],
+  ): Map<string, number> {
+    const { spec } = job;
+    const active = new Map<string, number>();
+    for (const chunk of job.chunks) {
+      const count = chunk.ids.length - chunk.done;
+      if (count > 0) active.set(chunk.zone, (active.get(chunk.zone) ?? 0) + count);
+    }
+    const zones = new Map<string, number>();
+    const free = new Map<string, number>();
+    for (const room of rooms) free.set(room.zone, (free.get(room.zone) ?? 0) + room.count);
+    for (const zone of free.keys()) zones.set(zone, allowed);
+    if (spec.spread) {
+      const most = Math.ceil(spec.tasks / 2);
+      for (const zone of zones.keys()) zones.set(zone, most - (active.get(zone) ?? 0));
+    }
+    if (spec.oneZone) {
+      // While any of its tasks is somewhere, the others must join it there.
+      const settled = active.keys().next();
+      const best = [...free].sort((a, b) => b[1] - a[1])[0]?.[0];
+      const only = settled.done ? best : settled.value;
+      for (const zone of zones.keys()) if (zone !== only) zones.set(zone, 0);
+    }
+    return zones;
+  }
+
+  /** Numbers of the job's tasks that are in no chunk, lowest first. */
+  private freeIds(job: Open): number[] {
+    const taken = new Uint8Array(job.spec.tasks);
+    for (const chunk of job.chunks) for (const id of chunk.ids) taken[id] = 1;
+    const free: number[] = [];
+    for (let id = 0; id < job.spec.tasks; id++) if (taken[id] === 0) free.push(id);
+    return free;
+  }
+}
--- /dev/null
+++ b/src/coordination/node.ts
@@ -0,0 +1,449 @@
+import { randomUUID } from 'node:crypto';
+import type { Server } from 'node:http';
+import type net from 'node:net';
+import {
+  CLOUD_TIMEOUT_MS,
+  LIST_PAGE,
+  LOOP_GATHER_MS,
+  LOOP_MS,
+  MAX_BODY_BYTES,
+  PEER_FRAME_BYTES,
+  PEER_RETRY_MS,
+  REDIRECT_RETRY_MS,
+  RELAY_TIMEOUT_MS,
+  RESERVED_SOCKETS,
+  RETRY_AFTER_S,
+  STATE_SOCKETS,
+  STATE_TIMEOUT_MS,
+} from '../constants.js';
+import { Committer } from '../bookkeeping/committer.js';
+import { Gate } from '../bookkeeping/gate.js';
+import { roleKey } from '../bookkeeping/keys.js';
+import type { Log } from '../bookkeeping/log.js';
+import { View } from '../bookkeeping/view.js';
+import { HttpCloudApi, type CloudApi } from '../protocol/cloud-api.js';
+import { decodePeer, encodePeer, type PeerMessage } from '../protocol/peer-messages.js';
+import type { Settings } from '../protocol/settings.js';
+import { HttpStateApi, type StateApi } from '../protocol/state-api.js';
+import type { WorkerReport } from '../protocol/terms.js';
+import { parseJson } from '../protocol/user-codec.js';
+import { encodeRedirect, encodeReportAnswer, parseReport } from '../protocol/worker-codec.js';
+import { systemClock, type Clock } from '../transport/clock.js';
+import { HttpClient } from '../transport/http-client.js';
+import { listenHttp, type HttpReply, type Route } from '../transport/http-server.js';
+import { PeerLink, listenPeers } from '../transport/peer-link.js';
+import { Fleet } from './fleet.js';
+import { Front } from './front.js';
+import { Leader } from './leader.js';
+import { Part } from './part.js';
+import { LEADER, Roles, partRole } from './roles.js';
+import { partOf, type Member } from './rendezvous.js';
+
+/** The outside as the node needs it; tests give stand-ins. */
+export interface Outside {
+  clock: Clock;
+  state: StateApi;
+  cloud: CloudApi;
+  /** Sends a message to a peer; false: no link to it. */
+  tellPeer(node: string, message: PeerMessage): boolean;
+}
+
+interface Loop {
+  wake(): void;
+}
+
+/** One controller without its sockets: everything it decides is here. */
+export class ControllerNode {
+  readonly view: View;
+  readonly roles: Roles;
+  readonly front: Front;
+  readonly parts = new Map<string, Part>();
+  leader: Leader | null = null;
+  private fleet: Fleet | null = null;
+  private leaderTerm = 0;
+  private readonly partTerms = new Map<string, number>();
+  private readonly committer: Committer;
+  private readonly members: Member[];
+  private readonly redirected = new Map<string, number>();
+  private readonly relays = new Map<number, (reply: HttpReply) => void>();
+  private relayCount = 0;
+  private stopped = false;
+  private readonly loops: Loop[] = [];
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly outside: Outside,
+    private readonly log: Log,
+    incarnation: string,
+  ) {
+    const { clock, state } = outside;
+    const gate = new Gate(clock, settings.stateRps, settings.stateWriteRps, settings.txnOps);
+    this.view = new View(state, gate, clock, log);
+    this.committer = new Committer(state, gate, this.view, clock, log);
+    const self = { node: settings.node, zone: settings.zone };
+    this.members = [self, ...settings.peers].sort((a, b) => (a.node < b.node ? -1 : 1));
+    this.roles = new Roles(
+      self,
+      incarnation,
+      this.members,
+      settings,
+      state,
+      gate,
+      this.view,
+      this.committer,
+      clock,
+      log,
+    );
+    this.front = new Front(
+      settings.teams,
+      settings.txnOps,
+      this.view,
+      state,
+      gate,
+      this.committer,
+      clock,
+      log,
+      () => this.poke(),
+    );
+    this.view.onChange((keys) => this.changed(keys));
+  }
+
+  start(): void {
+    void this.view.follow();
+    this.loop('roles', () => this.roles.round());
+    this.loop('parts', () => this.partsRound());
+    this.loop('leader', () => this.leaderRound());
+    this.loop('fleet', () => this.fleetRound());
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.view.stop();
+  }
+
+  get ready(): boolean {
+    return this.front.ready && this.roles.current;
+  }
+
+  /** Runs a round now and again, and soon after it is woken; no failure ends it. */
+  private loop(name: string, round: () => Promise<void>): void {
+    const { clock } = this.outside;
+    let cancel: (() => void) | null = null;
+    let running = false;
+    let again = false;
+    const run = async (): Promise<void> => {
+      if (this.stopped) return;
+      cancel?.();
+      cancel = null;
+      running = true;
+      again = false;
+      try {
+        await round();
+      } catch (error) {
+        this.log.error(
+          { loop: name, error: String((error as Error).stack ?? error) },
+          'round failed',
+        );
+      }
+      running = false;
+      schedule(again ? LOOP_GATHER_MS : LOOP_MS);
+    };
+    const schedule = (delay: number): void => {
+      cancel?.();
+      cancel = clock.after(delay, () => void run());
+    };
+    let soon = false;
+    this.loops.push({
+      wake: () => {
+        again = true;
+        if (running || soon) return;
+        soon = true;
+        clock.after(LOOP_GATHER_MS, () => {
+          soon = false;
+          if (!running && !this.stopped) void run();
+        });
+      },
+    });
+    schedule(0);
+  }
+
+  private wakeAll(): void {
+    for (const loop of this.loops) loop.wake();
+  }
+
+  private changed(keys: string[]): void {
+    for (const key of keys) for (const part of this.parts.values()) part.changed(key);
+    this.syncRoles();
+    if (keys.length > 0) this.wakeAll();
+  }
+
+  /** Puts the objects that act in a role in step with what the view says we own. */
+  private syncRoles(): void {
+    const { settings, outside, log } = this;
+    for (const [at, member] of this.members.entries()) {
+      const owned = this.roles.owned(partRole(member.node));
+      if (!owned) {
+        if (this.parts.delete(member.node)) log.info({ part: member.node }, 'part given up');
+        continue;
+      }
+      if (this.parts.has(member.node) && this.partTerms.get(member.node) === owned.term) continue;
+      const role = partRole(member.node);
+      const part = new Part(
+        {
+          part: member.node,
+          number: at,
+          term: owned.term,
+          roleKey: roleKey(role),
+          roleMark: owned.mark,
+          fenceAt: this.roles.fence(owned),
+          leaseS: settings.leaseS,
+          reportS: settings.reportS,
+          txnOps: settings.txnOps,
+          valueBytes: settings.valueBytes,
+          alpha: settings.placement.alpha,
+          penalty: settings.placement.penalty,
+          snapshotMs: settings.placement.snapshotS * 1000,
+          alive: () => this.roles.owned(role)?.term === owned.term,
+        },
+        this.view,
+        this.committer,
+        outside.clock,
+        log,
+        () => this.loops[1]?.wake(),
+      );
+      this.parts.set(member.node, part);
+      this.partTerms.set(member.node, owned.term);
+      log.info({ part: member.node, term: owned.term }, 'part taken');
+    }
+    const lead = this.roles.owned(LEADER);
+    if (!lead) {
+      if (this.leader) log.info({}, 'leadership given up');
+      this.leader = null;
+      this.fleet = null;
+    } else if (!this.leader || this.leaderTerm !== lead.term) {
+      this.leaderTerm = lead.term;
+      const common = {
+        term: lead.term,
+        roleKey: roleKey(LEADER),
+        roleMark: lead.mark,
+        txnOps: settings.txnOps,
+        alive: () => this.roles.owned(LEADER)?.term === lead.term,
+      };
+      this.leader = new Leader(
+        {
+          ...common,
+          valueBytes: settings.valueBytes,
+          teams: settings.teams,
+          members: this.members,
+        },
+        this.view,
+        this.committer,
+        log,
+      );
+      this.fleet = new Fleet(
+        {
+          ...common,
+          cloudRps: settings.cloudRps,
+          listLagS: settings.listLagS,
+          idleMs: settings.fleet.idleS * 1000,
+          headroomCpus: settings.fleet.headroomCpus,
+          spot: settings.fleet.spot,
+          maxMachines: settings.fleet.maxMachines,
+        },
+        this.view,
+        this.committer,
+        outside.cloud,
+        outside.clock,
+        log,
+      );
+      log.info({ term: lead.term }, 'leading');
+    }
+  }
+
+  private async partsRound(): Promise<void> {
+    for (const part of [...this.parts.values()]) await part.round();
+    const now = this.outside.clock.now();
+    for (const [machine, at] of this.redirected) {
+      if (now - at > REDIRECT_RETRY_MS) this.redirected.delete(machine);
+    }
+  }
+
+  private async leaderRound(): Promise<void> {
+    await this.leader?.round();
+  }
+
+  private async fleetRound(): Promise<void> {
+    if (this.leader && this.fleet) await this.fleet.round(this.leader.picture);
+  }
+
+  // --- Workers -------------------------------------------------------------------------------
+
+  async report(text: string | null): Promise<HttpReply> {
+    const json = parseJson(text);
+    if (!json.ok) return { status: 400, body: { error: json.error } };
+    const parsed = parseReport(json.value);
+    if (!parsed.ok) return { status: 400, body: { error: parsed.error } };
+    const report = parsed.value;
+    const part = partOf(report.machine, report.zone, this.members);
+    const own = this.answerReport(part, report);
+    if (own) return own;
+    const owner = this.roles.ownerOf(partRole(part));
+    const unsure: HttpReply = {
+      status: 503,
+      body: { error: 'no owner acts' },
+      retryAfterS: RETRY_AFTER_S,
+    };
+    if (owner === null || owner === this.settings.node) return unsure;
+    const now = this.outside.clock.now();
+    const before = this.redirected.get(report.machine);
+    if (before === undefined || now - before > REDIRECT_RETRY_MS) {
+      this.redirected.set(report.machine, now);
+      return { status: 421, body: encodeRedirect(owner) };
+    }
+    // Back so soon after a redirect: it can't reach the owner, but perhaps this node can.
+    this.redirected.set(report.machine, now);
+    return (await this.relay(owner, text ?? '')) ?? unsure;
+  }
+
+  /** Null: this node may not answer for the part. */
+  private answerReport(part: string, report: WorkerReport): HttpReply | null {
+    const role = partRole(part);
+    const owned = this.roles.owned(role);
+    const holder = this.parts.get(part);
+    if (!owned || !holder || !this.roles.current) return null;
+    const answer = holder.handleReport(report);
+    if (!answer.ok) {
+      return { status: 503, body: { error: 'not for this node' }, retryAfterS: RETRY_AFTER_S };
+    }
+    return { status: 200, body: encodeReportAnswer(answer.token, answer.commands) };
+  }
+
+  private relay(owner: string, report: string): Promise<HttpReply | null> {
+    return new Promise((resolve) => {
+      const id = ++this.relayCount;
+      if (!this.outside.tellPeer(owner, { kind: 'relay', id, report })) {
+        resolve(null);
+        return;
+      }
+      const cancel = this.outside.clock.after(RELAY_TIMEOUT_MS, () => {
+        this.relays.delete(id);
+        resolve(null);
+      });
+      this.relays.set(id, (reply) => {
+        cancel();
+        this.relays.delete(id);
+        resolve(reply);
+      });
+    });
+  }
+
+  // --- Peers ---------------------------------------------------------------------------------
+
+  /** Tells the others that there is something new to read. */
+  private poke(): void {
+    const message: PeerMessage = {
+      kind: 'poke',
+      node: this.settings.node,
+      revision: this.view.revision,
+    };
+    for (const peer of this.settings.peers) this.outside.tellPeer(peer.node, message);
+  }
+
+  heard(message: PeerMessage, answer: (message: PeerMessage) => void): void {
+    switch (message.kind) {
+      case 'poke':
+        this.view.hurry();
+        return;
+      case 'relay': {
+        const json = parseJson(message.report);
+        const parsed = json.ok ? parseReport(json.value) : json;
+        if (!parsed.ok) return;
+        const part = partOf(parsed.value.machine, parsed.value.zone, this.members);
+        const reply = this.answerReport(part, parsed.value);
+        if (!reply) return;
+        answer({
+          kind: 'relayed',
+          id: message.id,
+          status: reply.status,
+          body: JSON.stringify(reply.body),
+        });
+        return;
+      }
+      case 'relayed':
+        this.relays.get(message.id)?.({ status: message.status, body: message.body });
+    }
+  }
+}
+
+/** A controller with its sockets, on the real clock. */
+export class Controller {
+  private constructor(
+    private readonly node: ControllerNode,
+    private readonly links: Map<string, PeerLink>,
+    private readonly servers: (Server | net.Server)[],
+    private readonly clients: HttpClient[],
+  ) {}
+
+  static async start(settings: Settings, log: Log): Promise<Controller> {
+    const clock = systemClock;
+    const stateHttp = new HttpClient(settings.state, clock, STATE_SOCKETS);
+    const watchHttp = new HttpClient(settings.state, clock, 1);
+    const cloudHttp = new HttpClient(settings.cloud, clock, 2);
+    const links = new Map<string, PeerLink>();
+    const incarnation = randomUUID();
+    const node = new ControllerNode(
+      settings,
+      {
+        clock,
+        state: new HttpStateApi(stateHttp, watchHttp, STATE_TIMEOUT_MS),
+        cloud: new HttpCloudApi(cloudHttp, CLOUD_TIMEOUT_MS, LIST_PAGE),
+        tellPeer: (name, message) => links.get(name)?.send(encodePeer(message)) ?? false,
+      },
+      log,
+      incarnation,
+    );
+    const peerOptions = {
+      clock,
+      retryMs: PEER_RETRY_MS,
+      maxFrameBytes: PEER_FRAME_BYTES,
+      onFrame: (frame: Buffer, answer: (frame: Uint8Array) => void) => {
+        const message = decodePeer(frame);
+        if (message) node.heard(message, (reply) => answer(encodePeer(reply)));
+      },
+    };
+    const routes: Route[] = [
+      { method: 'POST', path: '/checkin', handle: ({ text }) => node.report(text) },
+      { method: 'POST', path: '/v2/runs', handle: ({ text }) => node.front.submit(text) },
+      { method: 'GET', path: '/v2/runs/:id', handle: ({ id }) => node.front.poll(id) },
+      { method: 'POST', path: '/v2/runs/:id/cancel', handle: ({ id }) => node.front.cancel(id) },
+      {
+        method: 'GET',
+        path: '/ready',
+        handle: () =>
+          node.ready
+            ? { status: 200, body: { ready: true } }
+            : { status: 503, body: { ready: false }, retryAfterS: RETRY_AFTER_S },
+      },
+    ];
+    const http = await listenHttp(
+      settings.listen,
+      routes,
+      { bodyBytes: MAX_BODY_BYTES, connections: settings.sockets - RESERVED_SOCKETS },
+      (error) => log.error({ error: String(error) }, 'request failed'),
+    );
+    const peers = await listenPeers(settings.peerListen, peerOptions);
+    node.start();
+    for (const peer of settings.peers) {
+      links.set(peer.node, new PeerLink(peer.address, peerOptions));
+    }
+    log.info({ node: settings.node, incarnation }, 'started');
+    return new Controller(node, links, [http, peers], [stateHttp, watchHttp, cloudHttp]);
+  }
+
+  stop(): void {
+    this.node.stop();
+    for (const link of this.links.values()) link.close();
+    for (const server of this.servers) server.close();
+    for (const client of this.clients) client.close();
+  }
+}
--- /dev/null
+++ b/src/coordination/rendezvous.ts
@@ -0,0 +1,41 @@
+/** FNV-1a over UTF-16 units, mixed once more: even enough for choosing among a few nodes. */
+export function hash(text: string): number {
+  let value = 0x811c9dc5;
+  for (let at = 0; at < text.length; at++) {
+    value ^= text.charCodeAt(at);
+    value = Math.imul(value, 0x01000193);
+  }
+  value ^= value >>> 16;
+  value = Math.imul(value, 0x85ebca6b);
+  value ^= value >>> 13;
+  return value >>> 0;
+}
+
+/** Rendezvous hashing: the candidate with the greatest hash together with the name. */
+export function choose(name: string, candidates: readonly string[]): string | null {
+  let best: string | null = null;
+  let bestHash = -1;
+  for (const candidate of candidates) {
+    const value = hash(`${candidate}|${name}`);
+    if (value > bestHash || (value === bestHash && best !== null && candidate < best)) {
+      best = candidate;
+      bestHash = value;
+    }
+  }
+  return best;
+}
+
+export interface Member {
+  node: string;
+  zone: string;
+}
+
+/**
+ * The part that a machine belongs to: among the parts homed in its zone, so that a zone that is cut
+ * off keeps working; among all where no node lives in that zone. It never changes.
+ */
+export function partOf(machine: string, zone: string, members: readonly Member[]): string {
+  const local = members.filter((member) => member.zone === zone);
+  const names = (local.length > 0 ? local : members).map((member) => member.node);
+  return choose(machine, names) ?? '';
+}
--- /dev/null
+++ b/src/coordination/roles.ts
@@ -0,0 +1,246 @@
+import {
+  CANCEL_MARGIN_S,
+  CLOCK_DRIFT,
+  HOME_SETTLE_MS,
+  LEASE_MARGIN_MS,
+  MEMBER_RENEW_MS,
+  MEMBER_TTL_MS,
+} from '../constants.js';
+import type { Committer } from '../bookkeeping/committer.js';
+import type { Gate } from '../bookkeeping/gate.js';
+import { nodeKey, roleKey } from '../bookkeeping/keys.js';
+import type { Log } from '../bookkeeping/log.js';
+import type { NodeRecord, RoleRecord } from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import type { Change, Guard, StateApi } from '../protocol/state-api.js';
+import type { Clock } from '../transport/clock.js';
+import { choose, type Member } from './rendezvous.js';
+
+export interface Timing {
+  leaseS: number;
+  cancelS: number;
+  skewMs: number;
+}
+
+/**
+ * How long an owner may answer workers after its view was last known to be current. A worker that
+ * it answered last keeps its tasks for one more lease, and both together must end before a
+ * cancellation that the owner never heard of is due.
+ */
+export function graceMs(timing: Timing): number {
+  const s = timing.cancelS - timing.leaseS * (1 + CLOCK_DRIFT) - CANCEL_MARGIN_S;
+  return Math.max(1, s) * 1000;
+}
+
+/** The longest that a worker's tasks outlive its last answered report. */
+export function leaseMs(timing: Timing): number {
+  return timing.leaseS * 1000 * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
+}
+
+/** The steady time from which no machine that never spoke to a part's new owner has tasks left. */
+export function fenceAt(
+  record: RoleRecord,
+  self: { startedAt: number },
+  now: number,
+  wall: number,
+  timing: Timing,
+): number {
+  // The process before this one ended before this one began, so its answers did too.
+  const afterSelf = self.startedAt + leaseMs(timing);
+  if (record.movedAt === 0) return afterSelf;
+  // Another node may have answered for a full grace after it lost the role.
+  const sinceMove = wall - record.movedAt;
+  const left = graceMs(timing) + leaseMs(timing) + 2 * timing.skewMs - sinceMove;
+  return Math.max(afterSelf, now + left);
+}
+
+export interface Owned {
+  role: string;
+  term: number;
+  mark: number;
+  record: RoleRecord;
+}
+
+export const LEADER = 'leader';
+export const partRole = (part: string): string => `part-${part}`;
+
+/** One ownership for all roles: who holds what, on whose lease, and taking over what is free. */
+export class Roles {
+  private lease: number | null = null;
+  private readonly freeSince = new Map<string, number>();
+  private busy = false;
+  private renewedAt = -Infinity;
+  readonly startedAt: number;
+  readonly grace: number;
+
+  constructor(
+    private readonly self: Member,
+    private readonly incarnation: string,
+    private readonly members: readonly Member[],
+    private readonly timing: Timing,
+    private readonly api: StateApi,
+    private readonly gate: Gate,
+    private readonly view: View,
+    private readonly committer: Committer,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    this.startedAt = clock.now();
+    this.grace = graceMs(timing);
+  }
+
+  private all(): { role: string; home: Member | null }[] {
+    return [
+      ...this.members.map((member) => ({ role: partRole(member.node), home: member })),
+      { role: LEADER, home: null },
+    ];
+  }
+
+  private isLive(node: string, incarnation: string): boolean {
+    return this.view.get<NodeRecord>(nodeKey(node))?.value.incarnation === incarnation;
+  }
+
+  liveNodes(): Member[] {
+    return this.members.filter((member) => this.view.get(nodeKey(member.node)) !== null);
+  }
+
+  /** The node that holds a role, whether or not it still lives. */
+  ownerOf(role: string): string | null {
+    return this.view.get<RoleRecord>(roleKey(role))?.value.owner ?? null;
+  }
+
+  /** A role of ours, once the view holds everything that was written before we took it. */
+  owned(role: string): Owned | null {
+    const held = this.view.get<RoleRecord>(roleKey(role));
+    if (!held || held.value.owner !== this.self.node) return null;
+    if (held.value.incarnation !== this.incarnation || this.view.revision < held.mark) return null;
+    return { role, term: held.value.term, mark: held.mark, record: held.value };
+  }
+
+  /** Whether the view is recent enough to act on a role before the outside. */
+  get current(): boolean {
+    return this.clock.now() - this.view.freshAt < this.grace;
+  }
+
+  fence(owned: Owned): number {
+    return fenceAt(owned.record, this, this.clock.now(), this.clock.wall(), this.timing);
+  }
+
+  /** One round: keep the lease, then take what should be ours. */
+  async round(): Promise<void> {
+    if (this.busy || !this.view.loaded) return;
+    this.busy = true;
+    try {
+      await this.keepLease();
+      if (this.lease !== null) await this.takeFree();
+    } catch (error) {
+      this.log.debug({ error: String(error) }, 'roles: state service did not answer');
+    } finally {
+      this.busy = false;
+    }
+  }
+
+  private async keepLease(): Promise<void> {
+    const now = this.clock.now();
+    const registered = this.isLive(this.self.node, this.incarnation);
+    if (this.lease !== null && registered) {
+      if (now - this.renewedAt < MEMBER_RENEW_MS) return;
+      await this.gate.pass('role', 0);
+      if (await this.api.extend(this.lease)) {
+        this.renewedAt = now;
+        return;
+      }
+      this.log.warn({}, 'member lease ended, asking for a new one');
+      this.lease = null;
+    }
+    await this.gate.pass('role', 0);
+    const lease = await this.api.grant(MEMBER_TTL_MS);
+    const value: NodeRecord = { incarnation: this.incarnation };
+    const changes: Change[] = [{ key: nodeKey(this.self.node), value, lease }];
+    const guards: Guard[] = [];
+    // Roles of the process before this one are taken along with the registration.
+    for (const { role, home } of this.all()) {
+      const held = this.view.get<RoleRecord>(roleKey(role));
+      const ours = held?.value.owner === this.self.node;
+      if (ours ? held.value.incarnation === this.incarnation : home?.node !== this.self.node) {
+        continue;
+      }
+      guards.push({ key: roleKey(role), mark: held?.mark ?? 0 });
+      changes.push({ key: roleKey(role), value: this.claimRecord(held?.value ?? null) });
+    }
+    const result = await this.committer.commit('role', guards, changes, () => true);
+    if (result.kind !== 'done') return;
+    this.lease = lease;
+    this.renewedAt = now;
+    this.log.info({ roles: guards.map((guard) => guard.key) }, 'registered as a member');
+  }
+
+  private claimRecord(before: RoleRecord | null): RoleRecord {
+    const moved = before !== null && before.owner !== this.self.node;
+    return {
+      owner: this.self.node,
+      incarnation: this.incarnation,
+      term: (before?.term ?? 0) + 1,
+      movedAt: moved ? this.clock.wall() : (before?.movedAt ?? 0),
+    };
+  }
+
+  private async takeFree(): Promise<void> {
+    const now = this.clock.now();
+    for (const { role, home } of this.all()) {
+      const held = this.view.get<RoleRecord>(roleKey(role));
+      const owner = held?.value ?? null;
+      if (owner?.owner === this.self.node && owner.incarnation === this.incarnation) {
+        this.freeSince.delete(role);
+        continue;
+      }
+      const alive = owner !== null && this.isLive(owner.owner, owner.incarnation);
+      const atHome = home?.node === this.self.node;
+      if (alive && !(atHome && now - this.startedAt > HOME_SETTLE_MS)) {
+        this.freeSince.delete(role);
+        continue;
+      }
+      const since = this.freeSince.get(role) ?? now;
+      this.freeSince.set(role, since);
+      const turn = atHome ? 0 : this.turn(role, home);
+      // The first choice takes it at once; the others only if the first does not.
+      if (now - since < turn * MEMBER_RENEW_MS) continue;
+      const key = roleKey(role);
+      const guards: Guard[] = [{ key, mark: held?.mark ?? 0 }];
+      // A holder that registers again at this moment keeps its role.
+      if (owner !== null && !alive) {
+        guards.push({ key: nodeKey(owner.owner), mark: this.view.markOf(nodeKey(owner.owner)) });
+      }
+      const record = this.claimRecord(owner);
+      const result = await this.committer.commit(
+        'role',
+        guards,
+        [{ key, value: record }],
+        () => true,
+      );
+      this.log.info(
+        { role, from: owner?.owner ?? null, term: record.term, result: result.kind },
+        'taking a role',
+      );
+    }
+  }
+
+  /** Our place in the order in which live nodes take a role: its zone first. */
+  private turn(role: string, home: Member | null): number {
+    const live = this.liveNodes();
+    const near = live.filter((member) => member.zone === home?.zone);
+    const far = live.filter((member) => member.zone !== home?.zone);
+    const order: string[] = [];
+    for (const group of [near, far]) {
+      const names = group.map((member) => member.node);
+      while (names.length > 0) {
+        const next = choose(role, names);
+        if (next === null) break;
+        order.push(next);
+        names.splice(names.indexOf(next), 1);
+      }
+    }
+    const at = order.indexOf(this.self.node);
+    return at < 0 ? order.length : at;
+  }
+}
--- /dev/null
+++ b/src/protocol/peer-messages.ts
@@ -0,0 +1,76 @@
+import protobuf from 'protobufjs/minimal.js';
+
+const { Reader, Writer } = protobuf;
+
+/**
+ * What controllers tell one another. All of it is a hint or a service between nodes; no decision
+ * rests on it that the state service would not allow.
+ */
+export type PeerMessage =
+  | { kind: 'poke'; node: string; revision: number }
+  | { kind: 'relay'; id: number; report: string }
+  | { kind: 'relayed'; id: number; status: number; body: string };
+
+const POKE = 1;
+const RELAY = 2;
+const RELAYED = 3;
+
+export function encodePeer(message: PeerMessage): Uint8Array {
+  const writer = Writer.create();
+  writer.fork();
+  switch (message.kind) {
+    case 'poke':
+      writer.uint32((POKE << 3) | 2).fork();
+      writer.uint32((1 << 3) | 2).string(message.node);
+      writer.uint32((2 << 3) | 0).uint64(message.revision);
+      break;
+    case 'relay':
+      writer.uint32((RELAY << 3) | 2).fork();
+      writer.uint32((1 << 3) | 0).uint64(message.id);
+      writer.uint32((2 << 3) | 2).string(message.report);
+      break;
+    case 'relayed':
+      writer.uint32((RELAYED << 3) | 2).fork();
+      writer.uint32((1 << 3) | 0).uint64(message.id);
+      writer.uint32((2 << 3) | 0).uint32(message.status);
+      writer.uint32((3 << 3) | 2).string(message.body);
+      break;
+  }
+  writer.ldelim();
+  writer.ldelim();
+  return writer.finish();
+}
+
+/** Null for a message of a kind that this version does not know. Throws on broken ones. */
+export function decodePeer(frame: Uint8Array): PeerMessage | null {
+  const reader = Reader.create(frame);
+  if (reader.len === 0) return null;
+  const kind = reader.uint32() >>> 3;
+  const end = reader.uint32() + reader.pos;
+  const fields: Record<number, number | string> = {};
+  while (reader.pos < end) {
+    const tag = reader.uint32();
+    switch (tag & 7) {
+      case 0:
+        fields[tag >>> 3] = Number(reader.uint64());
+        break;
+      case 2:
+        fields[tag >>> 3] = reader.string();
+        break;
+      default:
+        reader.skipType(tag & 7);
+    }
+  }
+  const text = (field: number): string => String(fields[field] ?? '');
+  const integer = (field: number): number => Number(fields[field] ?? 0);
+  switch (kind) {
+    case POKE:
+      return { kind: 'poke', node: text(1), revision: integer(2) };
+    case RELAY:
+      return { kind: 'relay', id: integer(1), report: text(2) };
+    case RELAYED:
+      return { kind: 'relayed', id: integer(1), status: integer(2), body: text(3) };
+    default:
+      return null;
+  }
+}
--- /dev/null
+++ b/src/protocol/settings.ts
@@ -0,0 +1,206 @@
+import { readFileSync } from 'node:fs';
+import { parse } from 'smol-toml';
+import * as v from 'valibot';
+
+const address = v.pipe(v.string(), v.regex(/^[^:]+:\d{1,5}$/, 'must be ADDRESS:PORT'));
+const positive = v.pipe(v.number(), v.gtValue(0));
+const amount = v.pipe(v.number(), v.minValue(0));
+
+const platform = v.object({
+  node_name: v.pipe(v.string(), v.minLength(1)),
+  site: v.pipe(v.string(), v.minLength(1)),
+  front: address,
+  cluster_listen: address,
+  members: v.optional(
+    v.array(v.object({ node_name: v.string(), site: v.string(), peer_addr: address })),
+    [],
+  ),
+  services: v.object({ cloud: address, state: address }),
+  params: v.object({
+    zones: v.array(v.string()),
+    skew_ms: v.optional(amount, 0),
+    teams: v.optional(
+      v.array(
+        v.object({
+          name: v.string(),
+          cpus: amount,
+          cpus_max: amount,
+          gpus: v.optional(amount, 0),
+          gpus_max: v.optional(amount, 0),
+        }),
+      ),
+      [],
+    ),
+    objectives: v.optional(
+      v.array(
+        v.looseObject({
+          kind: v.string(),
+          class: v.optional(v.string()),
+          within_s: v.optional(amount),
+        }),
+      ),
+      [],
+    ),
+    workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
+    state: v.object({
+      rps: positive,
+      write_rps: positive,
+      value_kb: positive,
+      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(2)),
+    }),
+    cloud: v.object({ rps: positive, list_lag_s: amount }),
+    resources: v.object({ cores: positive, mem_mb: positive, fd_limit: positive }),
+  }),
+});
+
+/** The operators' own file; every field has a default, and docs/operations.md explains each. */
+const operators = v.object({
+  placement: v.optional(
+    v.object({
+      alpha: v.optional(amount, 2),
+      penalty: v.optional(positive, 2),
+      snapshot_s: v.optional(positive, 30),
+    }),
+    {},
+  ),
+  fleet: v.optional(
+    v.object({
+      idle_s: v.optional(amount, 20),
+      headroom_cpus: v.optional(amount, 8),
+      spot: v.optional(v.boolean(), true),
+      max_machines: v.optional(positive, 1000),
+    }),
+    {},
+  ),
+});
+
+export interface Team {
+  name: string;
+  cpus: number;
+  cpusMax: number;
+  gpus: number;
+  gpusMax: number;
+}
+
+export interface Settings {
+  node: string;
+  zone: string;
+  listen: string;
+  peerListen: string;
+  peers: { node: string; zone: string; address: string }[];
+  cloud: string;
+  state: string;
+  zones: string[];
+  skewMs: number;
+  teams: Team[];
+  /** Seconds within which a class's tasks should start, by class. */
+  startWithinS: Record<string, number>;
+  reportS: number;
+  leaseS: number;
+  cancelS: number;
+  stateRps: number;
+  stateWriteRps: number;
+  valueBytes: number;
+  txnOps: number;
+  cloudRps: number;
+  listLagS: number;
+  sockets: number;
+  placement: { alpha: number; penalty: number; snapshotS: number };
+  fleet: { idleS: number; headroomCpus: number; spot: boolean; maxMachines: number };
+}
+
+/** Settings that can't be used; the message is one line that names file and field. */
+export class SettingsError extends Error {
+  constructor(file: string, reason: string) {
+    super(`${file}: ${reason.split('\n')[0]}`);
+    this.name = 'SettingsError';
+  }
+}
+
+function readToml(file: string): unknown {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new SettingsError(file, `can't be read (${(error as NodeJS.ErrnoException).code})`);
+  }
+  try {
+    return parse(text);
+  } catch (error) {
+    throw new SettingsError(file, `no TOML: ${(error as Error).message}`);
+  }
+}
+
+function check<T extends v.GenericSchema>(file: string, schema: T, raw: unknown): v.InferOutput<T> {
+  const result = v.safeParse(schema, raw);
+  if (result.success) return result.output;
+  const issue = result.issues[0];
+  throw new SettingsError(file, `${v.getDotPath(issue) ?? 'file'}: ${issue.message}`);
+}
+
+export function readSettings(platformFile: string, operatorsFile: string | null): Settings {
+  const raw = check(platformFile, platform, readToml(platformFile));
+  const own = check(
+    operatorsFile ?? 'defaults',
+    operators,
+    operatorsFile === null ? {} : readToml(operatorsFile),
+  );
+  const { params } = raw;
+  if (params.workers.lease_s >= params.workers.cancel_s) {
+    throw new SettingsError(platformFile, 'params.workers.cancel_s: must be above lease_s');
+  }
+  const names = [raw.node_name, ...raw.members.map((member) => member.node_name)];
+  if (new Set(names).size !== names.length) {
+    throw new SettingsError(platformFile, 'members.node_name: a name stands twice');
+  }
+  const startWithinS: Record<string, number> = {};
+  for (const objective of params.objectives) {
+    if (objective.kind === 'wait' && objective.class && objective.within_s !== undefined) {
+      startWithinS[objective.class] = objective.within_s;
+    }
+  }
+  return {
+    node: raw.node_name,
+    zone: raw.site,
+    listen: raw.front,
+    peerListen: raw.cluster_listen,
+    peers: raw.members.map((member) => ({
+      node: member.node_name,
+      zone: member.site,
+      address: member.peer_addr,
+    })),
+    cloud: raw.services.cloud,
+    state: raw.services.state,
+    zones: params.zones,
+    skewMs: params.skew_ms,
+    teams: params.teams.map((team) => ({
+      name: team.name,
+      cpus: team.cpus,
+      cpusMax: team.cpus_max,
+      gpus: team.gpus,
+      gpusMax: team.gpus_max,
+    })),
+    startWithinS,
+    reportS: params.workers.report_s,
+    leaseS: params.workers.lease_s,
+    cancelS: params.workers.cancel_s,
+    stateRps: params.state.rps,
+    stateWriteRps: params.state.write_rps,
+    valueBytes: params.state.value_kb * 1024,
+    txnOps: params.state.txn_ops,
+    cloudRps: params.cloud.rps,
+    listLagS: params.cloud.list_lag_s,
+    sockets: params.resources.fd_limit,
+    placement: {
+      alpha: own.placement.alpha,
+      penalty: own.placement.penalty,
+      snapshotS: own.placement.snapshot_s,
+    },
+    fleet: {
+      idleS: own.fleet.idle_s,
+      headroomCpus: own.fleet.headroom_cpus,
+      spot: own.fleet.spot,
+      maxMachines: own.fleet.max_machines,
+    },
+  };
+}
--- /dev/null
+++ b/src/protocol/user-codec.ts
@@ -0,0 +1,113 @@
+import * as v from 'valibot';
+import { MAX_TASKS } from '../constants.js';
+import type { JobSpec, JobState, Priority } from './terms.js';
+
+/** Job ids have this form on the wire. */
+const ID = /^j-\d{1,18}$/;
+
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
+const label = v.pipe(v.string(), v.minLength(1), v.maxLength(100));
+
+const submission = v.object({
+  ref: v.pipe(v.string(), v.regex(ID, 'must look like j-000412')),
+  lane: label,
+  crew: label,
+  shape: v.picklist(['sweep', 'standing']),
+  rank: v.picklist(['production', 'urgent', 'normal', 'best_effort']),
+  larvae: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TASKS)),
+  cores: positive,
+  gpus: v.nullish(amount, 0),
+  memGb: amount,
+  cocoon: label,
+  imageGb: amount,
+  breeds: v.nullish(v.pipe(v.array(label), v.maxLength(1000)), null),
+  grove: v.nullish(label, null),
+  samePlace: v.nullish(v.boolean(), false),
+  apart: v.nullish(v.boolean(), false),
+  windfall: v.nullish(v.boolean(), false),
+  guessS: v.nullish(amount, 0),
+  moltS: v.nullish(amount, 0),
+  spinS: v.nullish(amount, 0),
+  duskS: v.nullish(amount, null),
+});
+
+const RANKS: Record<string, Priority> = {
+  production: 'production',
+  urgent: 'high',
+  normal: 'normal',
+  best_effort: 'low',
+};
+const STATES: Record<JobState, string> = {
+  queued: 'queued',
+  running: 'running',
+  done: 'done',
+  cancelled: 'withdrawn',
+};
+
+export function isJobId(id: string): boolean {
+  return ID.test(id);
+}
+
+export type Parsed<T> = { ok: true; value: T } | { ok: false; error: string };
+
+export function parseJson(text: string | null): Parsed<Record<string, unknown>> {
+  if (text === null) return { ok: false, error: 'body: longer than 64 KiB' };
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return { ok: false, error: 'body: not JSON' };
+  }
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+    return { ok: false, error: 'body: not an object' };
+  }
+  return { ok: true, value: value as Record<string, unknown> };
+}
+
+/** The id alone: a known job is answered before anything else of the body is looked at. */
+export function submissionId(body: Record<string, unknown>): string | null {
+  return typeof body['ref'] === 'string' && ID.test(body['ref']) ? body['ref'] : null;
+}
+
+export function parseSubmission(body: Record<string, unknown>): Parsed<JobSpec> {
+  const result = v.safeParse(submission, body);
+  if (!result.success) {
+    const issue = result.issues[0];
+    return { ok: false, error: `${v.getDotPath(issue) ?? 'body'}: ${issue.message}` };
+  }
+  const o = result.output;
+  return {
+    ok: true,
+    value: {
+      id: o.ref,
+      class: o.lane,
+      team: o.crew,
+      kind: o.shape === 'sweep' ? 'array' : 'service',
+      priority: RANKS[o.rank] ?? 'normal',
+      tasks: o.larvae,
+      cpus: o.cores,
+      gpus: o.gpus,
+      memoryGb: o.memGb,
+      image: o.cocoon,
+      imageGb: o.imageGb,
+      types: o.breeds,
+      zone: o.grove,
+      oneZone: o.samePlace,
+      spread: o.apart,
+      spot: o.windfall,
+      estimateS: o.guessS,
+      checkpointS: o.moltS,
+      saveS: o.spinS,
+      deadlineS: o.duskS,
+    },
+  };
+}
+
+export function encodeJobState(id: string, state: JobState): unknown {
+  return { ref: id, stage: STATES[state] };
+}
+
+export function encodeJobView(id: string, state: JobState, done: number, running: number): unknown {
+  return { ref: id, stage: STATES[state], done, running };
+}
--- /dev/null
+++ b/src/transport/budget.ts
@@ -0,0 +1,45 @@
+import type { Clock } from './clock.js';
+
+/** A token bucket that keeps this process within its share of a limit of requests a second. */
+export class Budget {
+  private level: number;
+  private at: number;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly perSecond: number,
+    private readonly burst: number,
+  ) {
+    this.level = burst;
+    this.at = clock.now();
+  }
+
+  private refill(): void {
+    const now = this.clock.now();
+    this.level = Math.min(this.burst, this.level + ((now - this.at) / 1000) * this.perSecond);
+    this.at = now;
+  }
+
+  /** Takes what must go out at once, borrowing from later requests. */
+  force(cost: number): void {
+    this.refill();
+    this.level = Math.max(-this.burst, this.level - cost);
+  }
+
+  /** Milliseconds until `cost` is there; 0: it may be spent now. */
+  waitFor(cost: number): number {
+    this.refill();
+    const need = Math.min(cost, this.burst);
+    return this.level >= need ? 0 : Math.ceil(((need - this.level) / this.perSecond) * 1000);
+  }
+
+  spend(cost: number): void {
+    this.level -= cost;
+  }
+
+  /** The far side says that the limit is reached: what was saved up is gone. */
+  drain(): void {
+    this.refill();
+    this.level = Math.min(this.level, 0);
+  }
+}
--- /dev/null
+++ b/src/transport/clock.ts
@@ -0,0 +1,22 @@
+/** Time as the program sees it; tests put simulated time in its place. */
+export interface Clock {
+  /** Steady time in ms from an arbitrary start; drifts by the protocol's bound. */
+  now(): number;
+  /** Time of day in ms, right only within the settings' bound. */
+  wall(): number;
+  /** Calls back once after a delay in ms; the result cancels it. */
+  after(delayMs: number, callback: () => void): () => void;
+}
+
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wall: () => Date.now(),
+  after: (delayMs, callback) => {
+    const timer = setTimeout(callback, delayMs);
+    return () => clearTimeout(timer);
+  },
+};
+
+export function sleep(clock: Clock, ms: number): Promise<void> {
+  return new Promise((resolve) => clock.after(ms, resolve));
+}
