--- a/src/constants.ts
+++ b/src/constants.ts
@@ -126,3 +126,5 @@
 export const SILENT_RETURN_MAX = 2;
 /** ms; the span within which no more than that many silent machines are returned. */
 export const SILENT_RETURN_PERIOD_MS = 60_000;
+/** ms; at least so long past its boot time: its first report and its part's word take a while. */
+export const STUCK_LEAST_MS = 30_000;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -8,6 +8,7 @@
   SILENT_RETURN_MAX,
   SILENT_RETURN_PERIOD_MS,
   STUCK_BOOTS,
+  STUCK_LEAST_MS,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import { CATALOG, MACHINES, machineKey } from '../bookkeeping/keys.js';
@@ -171,7 +172,8 @@
       const record = held.value;
       if (record.state === 'gone') continue;
       const boot = (types.get(record.type)?.bootS ?? 60) * 1000;
-      const stuck = bootingNames.has(name) && wall - record.at > boot * STUCK_BOOTS;
+      const patience = Math.max(boot * STUCK_BOOTS, boot + STUCK_LEAST_MS);
+      const stuck = bootingNames.has(name) && wall - record.at > patience;
       // Placements commit only before the drain mark, so a view that holds it shows them all.
       const settled = this.view.revision >= held.mark;
       const drained = record.state === 'drain' && settled && !busy.has(name);
--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { World } from './world/world.js';
+
+const stage = (reply: { body: unknown }): string =>
+  (reply.body as { stage?: string } | null)?.stage ?? '';
+
+/** A world with some machines, jobs of both teams and a trouble; the rules must hold throughout. */
+interface Case {
+  name: string;
+  trouble: (world: World) => Promise<void>;
+}
+
+const CASES: Case[] = [
+  { name: 'a quiet day', trouble: (world) => world.run(20) },
+  {
+    name: 'a node killed and started again',
+    trouble: async (world) => {
+      world.kill('n1');
+      await world.run(4);
+      world.boot('n1');
+      await world.run(20);
+    },
+  },
+  {
+    name: 'a node killed and started again at once',
+    trouble: async (world) => {
+      world.kill('n0');
+      await world.run(0.2);
+      world.boot('n0');
+      await world.run(20);
+    },
+  },
+  {
+    name: 'a node that stays dead',
+    trouble: async (world) => {
+      world.kill('n2');
+      await world.run(70);
+      world.boot('n2');
+      await world.run(10);
+    },
+  },
+  {
+    name: 'all nodes killed in a state outage',
+    trouble: async (world) => {
+      world.state.outage = true;
+      await world.run(10);
+      for (const [name] of world.members) world.kill(name);
+      await world.run(4);
+      for (const [name] of world.members) world.boot(name);
+      await world.run(10);
+      world.state.endOutage();
+      await world.run(30);
+    },
+  },
+  {
+    name: 'a node that only the state service refuses',
+    trouble: async (world) => {
+      world.state.refused.add('n1');
+      await world.run(60);
+      world.state.refused.delete('n1');
+      await world.run(10);
+    },
+  },
+  {
+    name: 'a node that no worker reaches',
+    trouble: async (world) => {
+      for (const name of world.workers.keys()) world.cuts.add(`n0>${name}`);
+      await world.run(50);
+      world.cuts.clear();
+      await world.run(5);
+    },
+  },
+  {
+    name: 'machines that lose the network for longer than their lease',
+    trouble: async (world) => {
+      const [first, second] = world.workers.keys();
+      for (const [node] of world.members) {
+        world.cuts.add(`${node}>${first}`);
+        world.cuts.add(`${node}>${second}`);
+      }
+      await world.run(45);
+      world.cuts.clear();
+      await world.run(30);
+    },
+  },
+  {
+    name: 'a transaction that is applied late',
+    trouble: async (world) => {
+      for (const [node] of world.members) world.state.late.set(node, 9000);
+      await world.run(40);
+    },
+  },
+  {
+    name: 'reports that arrive late',
+    trouble: async (world) => {
+      for (const worker of world.workers.values()) worker.holdReportsMs = 6000;
+      await world.run(12);
+      for (const worker of world.workers.values()) worker.holdReportsMs = 0;
+      await world.run(30);
+    },
+  },
+];
+
+for (const { name, trouble } of CASES) {
+  for (const seed of [1, 2]) {
+    test(`rules hold and work gets done: ${name} (seed ${seed})`, async () => {
+      const world = new World(seed);
+      for (const zone of ['a', 'a', 'b']) world.addMachine('small', zone, false, 500);
+      await world.run(6);
+      assert.equal(
+        (await settled(world, world.submit('j-000001', { tasks: 20, cpus: 1 }))).status,
+        201,
+      );
+      await settled(
+        world,
+        world.submit('j-000002', {
+          team: 'blue',
+          tasks: 2,
+          service: true,
+          spot: false,
+          urgent: true,
+        }),
+      );
+      await settled(
+        world,
+        world.submit('j-000003', { team: 'blue', tasks: 6, spread: true, runS: 30 }),
+      );
+      await settled(world, world.submit('j-000004', { tasks: 6, oneZone: true, runS: 15 }));
+      await settled(
+        world,
+        world.submit('j-000005', { tasks: 2, service: true, zone: 'b', spot: false }),
+      );
+      await world.run(6);
+      await settled(world, world.cancel('j-000005'));
+      await trouble(world);
+      const cancelled = await settled(world, world.cancel('j-000002'));
+      assert.equal(stage(cancelled), 'withdrawn');
+      await world.run(150);
+      assert.deepEqual(world.broken, []);
+      for (const id of ['j-000001', 'j-000003', 'j-000004']) {
+        for (const [node] of world.members) {
+          assert.equal(
+            stage(await settled(world, world.poll(id, node))),
+            'done',
+            `${id} at ${node}`,
+          );
+        }
+      }
+      for (const [node] of world.members) {
+        assert.equal(stage(await settled(world, world.poll('j-000002', node))), 'withdrawn');
+      }
+    });
+  }
+}
+
+/** Lets simulated time run until a request is answered. */
+async function settled<T>(world: World, request: Promise<T>): Promise<T> {
+  let done = false;
+  void request.finally(() => {
+    done = true;
+  });
+  for (let turn = 0; turn < 200 && !done; turn++) await world.clock.run(world.clock.now() + 50);
+  return request;
+}
--- /dev/null
+++ b/test/world/state.ts
@@ -0,0 +1,134 @@
+import {
+  Refused,
+  type Change,
+  type Entry,
+  type Guard,
+  type StateApi,
+  type TxnResult,
+  type WatchResult,
+} from '../../src/protocol/state-api.js';
+import { NoAnswer } from '../../src/transport/http-client.js';
+import type { SimClock } from './clock.js';
+
+interface Cell {
+  value: unknown;
+  mark: number;
+  lease: number | null;
+}
+
+/** A stand-in for the state service: consistent, with leases, watches, outages and late requests. */
+export class SimState {
+  readonly cells = new Map<string, Cell>();
+  readonly log: { key: string; value: unknown; mark: number; removed: boolean }[] = [];
+  private readonly leases = new Map<number, { ttl: number; ends: number }>();
+  private leaseCount = 0;
+  revision = 1;
+  /** Nobody is served. */
+  outage = false;
+  /** These nodes get 503. */
+  readonly refused = new Set<string>();
+  /** The next transactions of these nodes are carried out this much later, unanswered. */
+  readonly late = new Map<string, number>();
+
+  constructor(private readonly clock: SimClock) {
+    const tick = (): void => {
+      this.expire();
+      clock.after(50, tick);
+    };
+    tick();
+  }
+
+  private expire(): void {
+    if (this.outage) return;
+    for (const [id, lease] of this.leases) {
+      if (lease.ends > this.clock.now()) continue;
+      this.leases.delete(id);
+      const keys = [...this.cells].filter(([, cell]) => cell.lease === id).map(([key]) => key);
+      if (keys.length > 0) this.change(keys.map((key) => ({ key, remove: true })));
+    }
+  }
+
+  endOutage(): void {
+    this.outage = false;
+    for (const lease of this.leases.values()) lease.ends = this.clock.now() + lease.ttl;
+  }
+
+  change(changes: Change[]): void {
+    this.revision++;
+    for (const one of changes) {
+      const removed = 'remove' in one;
+      const value: unknown = removed ? undefined : structuredClone(one.value);
+      if (removed) this.cells.delete(one.key);
+      else this.cells.set(one.key, { value, mark: this.revision, lease: one.lease ?? null });
+      this.log.push({ key: one.key, value, mark: this.revision, removed });
+    }
+  }
+
+  txn(guards: Guard[], changes: Change[]): TxnResult {
+    const failed = guards
+      .filter((guard) => (this.cells.get(guard.key)?.mark ?? 0) !== guard.mark)
+      .map((guard) => guard.key);
+    if (failed.length > 0) return { ok: false, failed };
+    if (changes.length > 0) this.change(changes);
+    return { ok: true, revision: this.revision };
+  }
+
+  /** The service as one node reaches it. */
+  api(node: string): StateApi {
+    const { clock } = this;
+    const served = async (): Promise<void> => {
+      await new Promise<void>((resolve) => clock.after(5, resolve));
+      if (this.outage || this.refused.has(node)) throw new Refused(503);
+    };
+    return {
+      get: async (key) => {
+        await served();
+        const cell = this.cells.get(key);
+        return cell ? { value: structuredClone(cell.value), mark: cell.mark } : null;
+      },
+      list: async (prefix, after) => {
+        await served();
+        const entries: Entry[] = [...this.cells]
+          .filter(([key]) => key.startsWith(prefix) && (after === null || key > after))
+          .sort(([a], [b]) => (a < b ? -1 : 1))
+          .map(([key, cell]) => ({ key, value: structuredClone(cell.value), mark: cell.mark }));
+        return { entries, more: false, revision: this.revision };
+      },
+      txn: async (guards, changes) => {
+        await served();
+        const delay = this.late.get(node);
+        if (delay !== undefined && changes.length > 0) {
+          this.late.delete(node);
+          clock.after(delay, () => this.txn(guards, changes));
+          throw new NoAnswer('held');
+        }
+        return this.txn(guards, changes);
+      },
+      grant: async (ttlMs) => {
+        await served();
+        const id = ++this.leaseCount;
+        this.leases.set(id, { ttl: ttlMs, ends: clock.now() + ttlMs });
+        return id;
+      },
+      extend: async (lease) => {
+        await served();
+        const held = this.leases.get(lease);
+        if (held) held.ends = clock.now() + held.ttl;
+        return held !== undefined;
+      },
+      watch: async (prefix, since, waitMs): Promise<WatchResult | null> => {
+        await served();
+        const until = clock.now() + waitMs;
+        for (;;) {
+          if (!this.outage && !this.refused.has(node)) {
+            const events = this.log.filter((one) => one.mark > since && one.key.startsWith(prefix));
+            if (events.length > 0 || clock.now() >= until) {
+              return { revision: this.revision, events: structuredClone(events) };
+            }
+          } else if (clock.now() > until + 2000) throw new NoAnswer('timed out');
+          await new Promise<void>((resolve) => clock.after(20, resolve));
+        }
+      },
+    };
+  }
+}
--- /dev/null
+++ b/test/world/worker.ts
@@ -0,0 +1,171 @@
+import type { World } from './world.js';
+
+interface Task {
+  attempt: number;
+  state: 'pulling' | 'running' | 'exited';
+  cause?: string;
+  cpus: number;
+}
+
+interface WireCommand {
+  verb: string;
+  larva: string;
+  try: number;
+}
+
+/** A stand-in for a machine's worker: reports, leases, tokens, sessions and commands. */
+export class SimWorker {
+  readonly tasks = new Map<string, Task>();
+  private session = 1;
+  private seq = 0;
+  private token = 0;
+  private renewedAt: number;
+  private target = 0;
+  private dead = false;
+  /** Reports sent from now on are held back this long, and their answers are lost. */
+  holdReportsMs = 0;
+  private reporting = false;
+
+  constructor(
+    private readonly world: World,
+    readonly machine: { name: string; type: string; zone: string; spot: boolean },
+  ) {
+    this.renewedAt = world.clock.now();
+    this.target = world.chance(world.members.length);
+    this.tick();
+  }
+
+  die(): void {
+    this.dead = true;
+    this.tasks.clear();
+  }
+
+  /** Tasks that have their image and have not ended. */
+  *onMachine(): Generator<[string, Task]> {
+    for (const entry of this.tasks) if (entry[1].state === 'running') yield entry;
+  }
+
+  private tick(): void {
+    if (this.dead) return;
+    if (this.world.clock.now() - this.renewedAt > 24_000) {
+      this.tasks.clear();
+      this.session++;
+      this.renewedAt = this.world.clock.now();
+    }
+    this.world.clock.after(500, () => this.tick());
+    if (!this.reporting && (this.seq === 0 || this.changed || this.due <= this.world.clock.now())) {
+      void this.report();
+    }
+  }
+
+  private changed = false;
+  private due = 0;
+
+  private reportBody(): string {
+    return JSON.stringify({
+      moth: this.machine.name,
+      endpoint: '10.1.0.1:9000',
+      breed: this.machine.type,
+      grove: this.machine.zone,
+      windfall: this.machine.spot,
+      flight: this.session,
+      wingbeat: ++this.seq,
+      mandate: this.token,
+      larvae: [...this.tasks].map(([larva, task]) => ({
+        larva,
+        try: task.attempt,
+        stage: task.state,
+        ...(task.cause ? { cause: task.cause } : {}),
+      })),
+    });
+  }
+
+  private async report(): Promise<void> {
+    const { world } = this;
+    this.reporting = true;
+    this.changed = false;
+    this.due = world.clock.now() + 3000;
+    const sentAt = world.clock.now();
+    const session = this.session;
+    const [name = ''] = world.members[this.target] ?? [];
+    const body = this.reportBody();
+    const held = this.holdReportsMs;
+    const entry = world.nodes.get(name);
+    const reach = entry !== undefined && !world.cut(name, this.machine.name);
+    const answer = new Promise<{ status: number; body: unknown } | null>((resolve) => {
+      world.clock.after(4000, () => resolve(null));
+      if (!reach || !entry) return;
+      world.clock.after(1 + held, () => {
+        void entry.node.report(body).then((reply) => {
+          if (!world.cut(name, this.machine.name)) world.clock.after(1, () => resolve(reply));
+        });
+      });
+    });
+    const reply = await answer;
+    this.reporting = false;
+    if (this.dead) return;
+    const parsed = (typeof reply?.body === 'string' ? JSON.parse(reply.body) : reply?.body) as {
+      mandate?: number;
+      calls?: WireCommand[];
+      hive?: string;
+    } | null;
+    if (reply?.status === 421 && parsed?.hive && parsed.hive !== name) {
+      this.target = world.members.findIndex(([one]) => one === parsed.hive);
+      this.changed = true;
+      return;
+    }
+    if (reply?.status !== 200) {
+      this.target = (this.target + 1) % world.members.length;
+      this.due = world.clock.now() + 1000;
+      return;
+    }
+    if (session !== this.session || (parsed?.mandate ?? -1) < this.token) return;
+    if ((parsed?.mandate ?? 0) > this.token) this.changed = true;
+    this.token = parsed?.mandate ?? 0;
+    this.renewedAt = sentAt;
+    for (const command of parsed?.calls ?? []) this.execute(command);
+  }
+
+  private execute(command: WireCommand): void {
+    const known = this.tasks.get(command.larva);
+    const job = this.world.jobs.get(command.larva.split('/')[0] ?? '');
+    if (command.verb === 'reap') {
+      if (known?.state === 'exited' && known.attempt === command.try) {
+        this.tasks.delete(command.larva);
+      }
+      return;
+    }
+    if (command.verb === 'halt') {
+      if (known && known.state !== 'exited' && known.attempt === command.try) {
+        this.end(known, 'stopped');
+      }
+      return;
+    }
+    if (known?.attempt === command.try || (known && known.state !== 'exited')) return;
+    if (!job) return;
+    const task: Task = { attempt: command.try, state: 'pulling', cpus: job.cpus };
+    this.tasks.set(command.larva, task);
+    this.world.clock.after(1000, () => {
+      if (this.dead || this.tasks.get(command.larva) !== task || task.state !== 'pulling') return;
+      if (job.broken) {
+        this.end(task, 'error');
+        return;
+      }
+      task.state = 'running';
+      this.changed = true;
+      this.world.started(this, command.larva);
+      if (job.service) return;
+      this.world.clock.after(job.runS * 1000, () => {
+        if (this.tasks.get(command.larva) === task && task.state === 'running') {
+          this.end(task, 'done');
+        }
+      });
+    });
+  }
+
+  private end(task: Task, cause: string): void {
+    task.state = 'exited';
+    task.cause = cause;
+    this.changed = true;
+  }
+}
--- /dev/null
+++ b/test/world/world.ts
@@ -0,0 +1,340 @@
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { ControllerNode, type Outside } from '../../src/coordination/node.js';
+import { readSettings, type Settings } from '../../src/protocol/settings.js';
+import type { CloudApi } from '../../src/protocol/cloud-api.js';
+import type { ListedMachine, MachineType } from '../../src/protocol/terms.js';
+import type { Log } from '../../src/bookkeeping/log.js';
+import { SimClock } from './clock.js';
+import { SimState } from './state.js';
+import { SimWorker } from './worker.js';
+
+export { readSettings };
+
+export const silent: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: (fields, message) => {
+    throw new Error(`${message}: ${JSON.stringify(fields)}`);
+  },
+};
+
+export const TYPES: MachineType[] = [
+  {
+    name: 'small',
+    cpus: 4,
+    gpus: 0,
+    memoryGb: 16,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: 0.2,
+    spotPrice: 0.1,
+    bootS: 10,
+    zones: ['a', 'b'],
+  },
+];
+
+export const TEAMS = [
+  { name: 'red', cpus: 8, cpusMax: 16, gpus: 0, gpusMax: 0 },
+  { name: 'blue', cpus: 8, cpusMax: 12, gpus: 0, gpusMax: 0 },
+];
+
+export function settingsOf(node: string, zone: string, all: [string, string][]): Settings {
+  return {
+    node,
+    zone,
+    listen: '127.0.0.1:0',
+    peerListen: '127.0.0.1:0',
+    peers: all
+      .filter(([name]) => name !== node)
+      .map(([name, site]) => ({ node: name, zone: site, address: '127.0.0.1:1' })),
+    cloud: '',
+    state: '',
+    zones: ['a', 'b'],
+    skewMs: 100,
+    teams: TEAMS,
+    startWithinS: {},
+    reportS: 3,
+    leaseS: 24,
+    cancelS: 50,
+    stateRps: 80,
+    stateWriteRps: 25,
+    valueBytes: 8192,
+    txnOps: 8,
+    cloudRps: 5,
+    listLagS: 4,
+    sockets: 1000,
+    placement: { alpha: 2, penalty: 2, snapshotS: 30 },
+    fleet: { idleS: 30, headroomCpus: 0, spot: true, maxMachines: 8 },
+  };
+}
+
+export interface SimJob {
+  team: string;
+  cpus: number;
+  tasks: number;
+  runS: number;
+  service: boolean;
+  spot: boolean;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  cancelledAt: number | null;
+  urgent: boolean;
+  /** Its tasks fail on every machine. */
+  broken: boolean;
+}
+
+/** Controllers, workers, cloud and state service in simulated time, and a judge of the rules. */
+export class World {
+  readonly clock = new SimClock();
+  readonly state = new SimState(this.clock);
+  readonly nodes = new Map<string, { node: ControllerNode; kill: () => void }>();
+  readonly workers = new Map<string, SimWorker>();
+  readonly jobs = new Map<string, SimJob>();
+  readonly broken: string[] = [];
+  readonly starts: { task: string; machine: string; at: number }[] = [];
+  /** Pairs "x>y" that can't reach each other; x and y are node or machine names. */
+  readonly cuts = new Set<string>();
+  /** Zone and kind of what the cloud still has; 0 refuses. */
+  capacity = 20;
+  private readonly rented = new Map<string, ListedMachine>();
+  private readonly requests = new Map<string, string[]>();
+  private machineCount = 0;
+  private incarnations = 0;
+  private readonly random;
+
+  constructor(
+    seed: number,
+    readonly members: [string, string][] = [
+      ['n0', 'a'],
+      ['n1', 'a'],
+      ['n2', 'b'],
+    ],
+  ) {
+    this.random = xoroshiro128plus(seed);
+    for (const [name] of members) this.boot(name);
+  }
+
+  chance(most: number): number {
+    return uniformInt(this.random, 0, most - 1);
+  }
+
+  boot(name: string): void {
+    const zone = this.members.find(([one]) => one === name)?.[1] ?? 'a';
+    let dead = false;
+    const clock = {
+      now: () => this.clock.now(),
+      wall: () => this.clock.wall(),
+      after: (delay: number, run: () => void) =>
+        this.clock.after(delay, () => {
+          if (!dead) run();
+        }),
+    };
+    const guard = <T>(call: Promise<T>): Promise<T> =>
+      new Promise((resolve, reject) => {
+        call.then(
+          (value) => (dead ? undefined : resolve(value)),
+          (error: unknown) => (dead ? undefined : reject(error as Error)),
+        );
+      });
+    const api = this.state.api(name);
+    const outside: Outside = {
+      clock,
+      state: {
+        get: (key) => guard(api.get(key)),
+        list: (prefix, after) => guard(api.list(prefix, after)),
+        txn: (guards, changes) => guard(api.txn(guards, changes)),
+        grant: (ttl) => guard(api.grant(ttl)),
+        extend: (lease) => guard(api.extend(lease)),
+        watch: (prefix, since, wait) => guard(api.watch(prefix, since, wait)),
+      },
+      cloud: this.cloud(),
+      tellPeer: (peer, message) => {
+        const other = this.nodes.get(peer);
+        if (!other || this.cut(name, peer)) return false;
+        this.clock.after(2, () =>
+          other.node.heard(message, (reply) => {
+            this.clock.after(2, () => this.nodes.get(name)?.node.heard(reply, () => undefined));
+          }),
+        );
+        return true;
+      },
+    };
+    const node = new ControllerNode(
+      settingsOf(name, zone, this.members),
+      outside,
+      silent,
+      `${name}-${++this.incarnations}`,
+    );
+    node.start();
+    this.nodes.set(name, {
+      node,
+      kill: () => {
+        dead = true;
+        node.stop();
+        this.nodes.delete(name);
+      },
+    });
+  }
+
+  kill(name: string): void {
+    this.nodes.get(name)?.kill();
+  }
+
+  cut(x: string, y: string): boolean {
+    return this.cuts.has(`${x}>${y}`) || this.cuts.has(`${y}>${x}`);
+  }
+
+  private cloud(): CloudApi {
+    return {
+      types: () => Promise.resolve(structuredClone(TYPES)),
+      rent: (request, type, zone, spot, count) => {
+        const before = this.requests.get(request);
+        if (before) return Promise.resolve({ kind: 'rented', machines: before });
+        const got = Math.min(count, this.capacity);
+        if (got === 0) return Promise.resolve({ kind: 'noCapacity' });
+        const machines = Array.from({ length: got }, () => this.addMachine(type, zone, spot, 8000));
+        this.requests.set(request, machines);
+        return Promise.resolve({ kind: 'rented', machines });
+      },
+      giveBack: (machines) => {
+        for (const name of machines) this.removeMachine(name);
+        return Promise.resolve(true);
+      },
+      list: (after) =>
+        Promise.resolve({
+          machines: [...this.rented.values()].filter((one) => one.name > after),
+          more: false,
+        }),
+    };
+  }
+
+  addMachine(type: string, zone: string, spot: boolean, bootMs: number): string {
+    const name = `m-${String(this.machineCount++).padStart(6, '0')}`;
+    this.capacity--;
+    const address = `10.1.0.${this.machineCount}:9000`;
+    this.rented.set(name, { name, address, type, zone, spot, state: 'booting', ageS: 0 });
+    this.clock.after(bootMs, () => {
+      const entry = this.rented.get(name);
+      if (!entry) return;
+      entry.state = 'running';
+      this.workers.set(name, new SimWorker(this, { name, type, zone, spot }));
+    });
+    return name;
+  }
+
+  removeMachine(name: string): void {
+    if (this.rented.delete(name)) this.capacity++;
+    this.workers.get(name)?.die();
+    this.workers.delete(name);
+  }
+
+  submit(id: string, job: Partial<SimJob>, at = 'n0'): Promise<{ status: number; body: unknown }> {
+    const whole: SimJob = {
+      team: 'red',
+      cpus: 1,
+      tasks: 4,
+      runS: 10,
+      service: false,
+      spot: true,
+      zone: null,
+      oneZone: false,
+      spread: false,
+      cancelledAt: null,
+      urgent: false,
+      broken: false,
+      ...job,
+    };
+    this.jobs.set(id, whole);
+    const body = {
+      ref: id,
+      lane: 'work',
+      crew: whole.team,
+      shape: whole.service ? 'standing' : 'sweep',
+      rank: whole.urgent ? 'urgent' : 'normal',
+      larvae: whole.tasks,
+      cores: whole.cpus,
+      gpus: 0,
+      memGb: 1,
+      cocoon: 'img-1',
+      imageGb: 1,
+      grove: whole.zone,
+      samePlace: whole.oneZone,
+      apart: whole.spread,
+      windfall: whole.spot,
+      guessS: whole.runS,
+    };
+    const node = this.nodes.get(at)?.node;
+    if (!node) return Promise.resolve({ status: 0, body: null });
+    return node.front.submit(JSON.stringify(body));
+  }
+
+  async cancel(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
+    const reply = await this.nodes.get(at)?.node.front.cancel(id);
+    const job = this.jobs.get(id);
+    if (reply?.status === 200 && job) job.cancelledAt ??= this.clock.now();
+    return reply ?? { status: 0, body: null };
+  }
+
+  poll(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
+    const node = this.nodes.get(at)?.node;
+    return node ? node.front.poll(id) : Promise.resolve({ status: 0, body: null });
+  }
+
+  // --- The judge -----------------------------------------------------------------------------
+
+  /** Called by a worker when a task gets on its machine. */
+  started(worker: SimWorker, task: string): void {
+    const [id = ''] = task.split('/');
+    const job = this.jobs.get(id);
+    this.starts.push({ task, machine: worker.machine.name, at: this.clock.now() });
+    let used = 0;
+    const zones = new Map<string, number>();
+    for (const other of this.workers.values()) {
+      for (const [name, on] of other.onMachine()) {
+        if (name === task && other !== worker) this.broken.push(`ran_twice ${task}`);
+        const otherJob = this.jobs.get(name.split('/')[0] ?? '');
+        if (otherJob?.team === job?.team) used += on.cpus;
+        if (name.startsWith(`${id}/`) && name !== task) {
+          zones.set(other.machine.zone, (zones.get(other.machine.zone) ?? 0) + 1);
+        }
+      }
+    }
+    if (!job) return;
+    const most = TEAMS.find((team) => team.name === job.team)?.cpusMax ?? 0;
+    if (used > most + 1e-6) this.broken.push(`quota ${job.team} ${used}`);
+    const { zone, spot } = worker.machine;
+    if ((spot && !job.spot) || (job.zone !== null && job.zone !== zone)) {
+      this.broken.push(`wrong_place ${task}`);
+    }
+    if (job.oneZone && [...zones.keys()].some((other) => other !== zone)) {
+      this.broken.push(`wrong_place ${task} (one zone)`);
+    }
+    if (job.spread && (zones.get(zone) ?? 0) + 1 > Math.ceil(job.tasks / 2)) {
+      this.broken.push(`wrong_place ${task} (spread)`);
+    }
+  }
+
+  /** Tasks of cancelled jobs that are still on a machine past their time. */
+  checkCancelled(cancelS: number): void {
+    for (const worker of this.workers.values()) {
+      for (const [name] of worker.onMachine()) {
+        const at = this.jobs.get(name.split('/')[0] ?? '')?.cancelledAt ?? null;
+        if (at !== null && this.clock.now() > at + cancelS * 1000) {
+          this.broken.push(`ran_cancelled ${name}`);
+        }
+      }
+    }
+  }
+
+  /** Runs on, judging as it goes. */
+  async run(seconds: number): Promise<void> {
+    const until = this.clock.now() + seconds * 1000;
+    while (this.clock.now() < until) {
+      await this.clock.run(Math.min(until, this.clock.now() + 1000));
+      this.checkCancelled(50);
+    }
+  }
+}
