Keep a part's machines when it changes hands

Cause: a new owner's first status was empty, so the leader took the part's fleet for machines that never came up and returned it.

--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -22,6 +22,7 @@
   readChunkKey,
   statusKey,
   CATALOG,
+  STATUSES,
 } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import { readRanges, writeRanges } from '../bookkeeping/ranges.js';
@@ -156,6 +157,44 @@
     this.token = options.term * TOKEN_STEP;
     for (const [key] of view.below<ChunkRecord>(chunkPrefix(options.part))) this.changed(key);
     this.snapshotAt = clock.now() + options.snapshotMs;
+    this.inherit();
+  }
+
+  /**
+   * The machines that the owner before us knew are ours from the start, heard of or not. Without
+   * this the first status of a new owner is empty, and the leader takes a part's whole fleet for
+   * machines that never came up, and returns it.
+   */
+  private inherit(): void {
+    const prefix = `${STATUSES}${this.options.part}/`;
+    for (const [key, held] of this.view.below<StatusRecord>(prefix)) {
+      this.statusSent.set(key, JSON.stringify(held.value.machines));
+      for (const [name, [type, zone, spot, health]] of Object.entries(held.value.machines)) {
+        const machine = this.newMachine(name, type, zone, spot === 1);
+        machine.leaving = health === 'leaving';
+        machine.answeredAt = -Infinity;
+        this.machines.set(name, machine);
+      }
+    }
+  }
+
+  private newMachine(name: string, type: string, zone: string, spot: boolean): Machine {
+    const now = this.clock.now();
+    return {
+      name,
+      type,
+      zone,
+      spot,
+      session: 0,
+      seq: 0,
+      heardAt: now,
+      answeredAt: now,
+      ours: false,
+      leaving: false,
+      tasks: [],
+      images: new Set(),
+      errors: new Set(),
+    };
   }
 
   // --- What the state service holds ----------------------------------------------------------
@@ -263,21 +302,7 @@
     const now = this.clock.now();
     let machine = this.machines.get(report.machine);
     if (!machine) {
-      machine = {
-        name: report.machine,
-        type: report.type,
-        zone: report.zone,
-        spot: report.spot,
-        session: 0,
-        seq: 0,
-        heardAt: now,
-        answeredAt: now,
-        ours: false,
-        leaving: false,
-        tasks: [],
-        images: new Set(),
-        errors: new Set(),
-      };
+      machine = this.newMachine(report.machine, report.type, report.zone, report.spot);
       this.machines.set(report.machine, machine);
       this.log.info({ machine: report.machine, type: report.type }, 'machine reports');
     }
@@ -764,10 +789,7 @@
   }
 
   private async writeStatus(): Promise<void> {
-    const now = this.clock.now();
-    const names = [...this.machines.keys()]
-      .filter((name) => now < this.deadAt(name) || this.machines.get(name)?.leaving === true)
-      .sort();
+    const names = [...this.machines.keys()].sort();
     const shards = Math.max(1, Math.ceil(names.length / STATUS_SHARD));
     for (let shard = 0; shard < Math.max(shards, this.statusSent.size); shard++) {
       const machines: StatusRecord['machines'] = {};
