--- a/src/constants.ts
+++ b/src/constants.ts
@@ -128,3 +128,5 @@
 export const SILENT_RETURN_PERIOD_MS = 60_000;
 /** ms; at least so long past its boot time: its first report and its part's word take a while. */
 export const STUCK_LEAST_MS = 30_000;
+/** ms; a direct call is given up after this and its commands are fenced: workers answer at once. */
+export const DIRECT_TIMEOUT_MS = 2_000;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -3,6 +3,7 @@
 import type net from 'node:net';
 import {
   CLOUD_TIMEOUT_MS,
+  DIRECT_TIMEOUT_MS,
   LIST_PAGE,
   LOOP_GATHER_MS,
   LOOP_MS,
@@ -29,6 +30,7 @@
 import { parseJson } from '../protocol/user-codec.js';
 import { encodeRedirect, encodeReportAnswer, parseReport } from '../protocol/worker-codec.js';
 import { systemClock, type Clock } from '../transport/clock.js';
+import { HttpWorkerApi, type WorkerApi } from '../protocol/worker-api.js';
 import { HttpClient } from '../transport/http-client.js';
 import { listenHttp, type HttpReply, type Route } from '../transport/http-server.js';
 import { PeerLink, listenPeers } from '../transport/peer-link.js';
@@ -44,6 +46,7 @@
   clock: Clock;
   state: StateApi;
   cloud: CloudApi;
+  workers: WorkerApi;
   /** Sends a message to a peer; false: no link to it. */
   tellPeer(node: string, message: PeerMessage): boolean;
 }
@@ -207,6 +210,7 @@
         },
         this.view,
         this.committer,
+        outside.workers,
         outside.clock,
         log,
         () => this.loops[1]?.wake(),
@@ -381,7 +385,7 @@
     private readonly node: ControllerNode,
     private readonly links: Map<string, PeerLink>,
     private readonly servers: (Server | net.Server)[],
-    private readonly clients: HttpClient[],
+    private readonly clients: { close(): void }[],
   ) {}
 
   static async start(settings: Settings, log: Log): Promise<Controller> {
@@ -389,6 +393,7 @@
     const stateHttp = new HttpClient(settings.state, clock, STATE_SOCKETS);
     const watchHttp = new HttpClient(settings.state, clock, 1);
     const cloudHttp = new HttpClient(settings.cloud, clock, 2);
+    const workers = new HttpWorkerApi(clock, DIRECT_TIMEOUT_MS, settings.sockets / 4);
     const links = new Map<string, PeerLink>();
     const incarnation = randomUUID();
     const node = new ControllerNode(
@@ -397,6 +402,7 @@
         clock,
         state: new HttpStateApi(stateHttp, watchHttp, STATE_TIMEOUT_MS),
         cloud: new HttpCloudApi(cloudHttp, CLOUD_TIMEOUT_MS, LIST_PAGE),
+        workers,
         tellPeer: (name, message) => links.get(name)?.send(encodePeer(message)) ?? false,
       },
       log,
@@ -437,7 +443,7 @@
       links.set(peer.node, new PeerLink(peer.address, peerOptions));
     }
     log.info({ node: settings.node, incarnation }, 'started');
-    return new Controller(node, links, [http, peers], [stateHttp, watchHttp, cloudHttp]);
+    return new Controller(node, links, [http, peers], [stateHttp, watchHttp, cloudHttp, workers]);
   }
 
   stop(): void {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -43,6 +43,7 @@
   type TaskReport,
   type WorkerReport,
 } from '../protocol/terms.js';
+import type { WorkerApi } from '../protocol/worker-api.js';
 import type { Clock } from '../transport/clock.js';
 import type { ArmRecord, Bandit } from './bandit.js';
 
@@ -55,6 +56,9 @@
   runningAt: number | null;
   /** Being stopped to make room. */
   halting: boolean;
+  /** Its start, or its stop, went out and no later report shows that it was lost. */
+  startSent: boolean;
+  stopSent: boolean;
   pendingSince: number;
   context: number[] | null;
 }
@@ -69,8 +73,20 @@
   dirty: boolean;
 }
 
-export interface Machine {
+/** Commands sent straight to a worker whose end is not known yet. */
+interface Direct {
+  session: number;
+  attempts: Set<number>;
+  /** No answer came: a report with this token, or of a later session, shows that they are fenced. */
+  fence: number | null;
+}
+
+interface Machine {
   name: string;
+  address: string;
+  /** Added to the part's token: raised to fence commands that went unanswered. */
+  bump: number;
+  direct: Direct | null;
   type: string;
   zone: string;
   spot: boolean;
@@ -144,17 +160,18 @@
   private readonly statusSent = new Map<string, string>();
   private busy = false;
   private snapshotAt = 0;
-  readonly token: number;
+  private readonly baseToken: number;
 
   constructor(
     private readonly options: PartOptions,
     private readonly view: View,
     private readonly committer: Committer,
+    private readonly workers: WorkerApi,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly wake: () => void,
   ) {
-    this.token = options.term * TOKEN_STEP;
+    this.baseToken = options.term * TOKEN_STEP;
     for (const [key] of view.below<ChunkRecord>(chunkPrefix(options.part))) this.changed(key);
     this.snapshotAt = clock.now() + options.snapshotMs;
     this.inherit();
@@ -182,6 +199,9 @@
     const now = this.clock.now();
     return {
       name,
+      address: '',
+      bump: 0,
+      direct: null,
       type,
       zone,
       spot,
@@ -238,6 +258,8 @@
         attempt: live?.[1] ?? 0,
         runningAt: null,
         halting: false,
+        startSent: false,
+        stopSent: false,
         pendingSince: this.clock.now(),
         context: null,
       });
@@ -288,6 +310,8 @@
     slot.machine = '';
     slot.runningAt = null;
     slot.halting = false;
+    slot.startSent = false;
+    slot.stopSent = false;
     slot.context = null;
     slot.pendingSince = this.clock.now();
     chunk.dirty = true;
@@ -296,9 +320,8 @@
   // --- Reports -------------------------------------------------------------------------------
 
   handleReport(report: WorkerReport): ReportAnswer {
-    if (report.token > this.token || this.machineState(report.machine) === 'gone') {
-      return { ok: false };
-    }
+    const newer = report.token >= this.baseToken + TOKEN_STEP;
+    if (newer || this.machineState(report.machine) === 'gone') return { ok: false };
     const now = this.clock.now();
     let machine = this.machines.get(report.machine);
     if (!machine) {
@@ -306,81 +329,121 @@
       this.machines.set(report.machine, machine);
       this.log.info({ machine: report.machine, type: report.type }, 'machine reports');
     }
-    // An older report than one already heard is as old as its task list; it proves nothing.
+    // Older than what is known, for example since a direct answer overtook it: it proves nothing.
+    if (!this.observe(machine, report)) {
+      if (report.session === machine.session) machine.answeredAt = now;
+      return { ok: true, token: this.tokenOf(machine), commands: [] };
+    }
+    machine.answeredAt = now;
+    const commands = this.commandsFor(machine, true);
+    this.wake();
+    return { ok: true, token: this.tokenOf(machine), commands };
+  }
+
+  private tokenOf(machine: Machine): number {
+    return this.baseToken + machine.bump;
+  }
+
+  /** Takes over what a report shows; false: an older one than what is known. */
+  private observe(machine: Machine, report: WorkerReport): boolean {
     if (
       report.session < machine.session ||
       (report.session === machine.session && report.seq <= machine.seq)
     ) {
-      return { ok: false };
+      return false;
     }
-    if (report.session > machine.session) machine.ours = false;
+    const now = this.clock.now();
     machine.session = report.session;
     machine.seq = report.seq;
+    machine.address = report.address;
     machine.heardAt = now;
-    machine.answeredAt = now;
     machine.leaving = report.noticeS !== null;
     machine.tasks = report.tasks;
-    if (report.token === this.token) machine.ours = true;
-    const commands = this.reconcile(machine, report, now);
-    this.wake();
-    return { ok: true, token: this.token, commands };
+    // Only the owner at this term hands its tokens out, so no former owner is heard any more.
+    machine.ours = report.token >= this.baseToken;
+    if (machine.ours) machine.bump = Math.max(machine.bump, report.token - this.baseToken);
+    const { direct } = machine;
+    if (
+      direct &&
+      (report.session > direct.session || (direct.fence !== null && report.token >= direct.fence))
+    ) {
+      machine.direct = null;
+    }
+    const listed = new Set<Slot>();
+    for (const one of report.tasks) {
+      const found = this.match(machine, one);
+      if (!found) continue;
+      listed.add(found.slot);
+      if (one.state === 'exited') this.exited(found.chunk, found.slot, one, machine, now);
+      else if (one.state !== 'fetching') {
+        found.slot.runningAt ??= now;
+        const spec = this.spec(found.chunk.job);
+        if (spec) machine.images.add(spec.image);
+      }
+    }
+    // Not on the machine, which is proof only where the worker has heard nobody but us, and where
+    // no command sent straight to it is still on its way.
+    const usable = this.usable(machine);
+    for (const { chunk, slot } of this.live()) {
+      if (slot.machine !== machine.name || listed.has(slot)) continue;
+      if (!machine.ours || machine.direct?.attempts.has(slot.attempt)) continue;
+      slot.startSent = false;
+      if (this.spec(chunk.job) === null || !usable || slot.halting) this.requeue(chunk, slot);
+    }
+    return true;
+  }
+
+  private usable(machine: Machine): boolean {
+    return !machine.leaving && this.machineState(machine.name) !== 'drain';
+  }
+
+  /** The placement that a reported task is, if it is one. */
+  private match(machine: Machine, one: TaskReport): { chunk: Chunk; slot: Slot } | null {
+    const found = this.find(one.task.job, one.task.index);
+    const slot = found?.slot;
+    const same =
+      slot?.state === 'live' && slot.machine === machine.name && slot.attempt === one.attempt;
+    return found && same ? found : null;
   }
 
-  private reconcile(machine: Machine, report: WorkerReport, now: number): Command[] {
+  /** What makes the machine do what is wanted; `all`: also what was sent before. */
+  private commandsFor(machine: Machine, all: boolean): Command[] {
     const commands: Command[] = [];
-    const listed = new Set<Slot>();
     const room = this.capacity(machine.type);
-    for (const one of report.tasks) {
-      const found = this.find(one.task.job, one.task.index);
-      const slot = found?.slot;
-      const match =
-        slot?.state === 'live' && slot.machine === machine.name && slot.attempt === one.attempt;
-      if (one.state !== 'exited') {
-        if (found) take(room, found.chunk.record);
-        else take(room, { cpus: room.cpus, gpus: room.gpus, memoryGb: room.memoryGb });
-      }
-      if (!found || !slot || !match) {
-        this.clearUnwanted(one, found, commands);
+    const listed = new Set<Slot>();
+    for (const one of machine.tasks) {
+      const chunk = this.find(one.task.job, one.task.index)?.chunk;
+      if (one.state !== 'exited') take(room, chunk ? chunk.record : { ...room });
+      const found = this.match(machine, one);
+      if (!found) {
+        if (all) this.clearUnwanted(machine, one, commands);
         continue;
       }
+      const { slot } = found;
       listed.add(slot);
-      if (one.state === 'exited') this.exited(found.chunk, slot, one, machine, now);
-      else {
-        const spec = this.spec(found.chunk.job);
-        if (one.state !== 'fetching') {
-          slot.runningAt ??= now;
-          if (spec) machine.images.add(spec.image);
-        }
-        if (spec === null) {
-          commands.push({ op: 'stop', task: one.task, attempt: one.attempt, graceS: 0 });
-        } else if (slot.halting && one.state !== 'saving') {
-          commands.push({
-            op: 'stop',
-            task: one.task,
-            attempt: one.attempt,
-            graceS: spec.checkpointS > 0 ? spec.saveS : 0,
-          });
-        }
-      }
-    }
-    this.startMissing(machine, listed, room, commands);
+      const spec = this.spec(found.chunk.job);
+      const stop = spec === null || (slot.halting && one.state !== 'saving');
+      if (!stop || (slot.stopSent && !all)) continue;
+      slot.stopSent = true;
+      const graceS = spec !== null && spec.checkpointS > 0 ? spec.saveS : 0;
+      commands.push({ op: 'stop', task: one.task, attempt: one.attempt, graceS });
+    }
+    if (this.usable(machine)) this.startMissing(machine, listed, room, all, commands);
     return commands.slice(0, COMMANDS_MAX);
   }
 
   /** A task on the machine that is not wanted there: stopped, or forgotten once it has ended. */
-  private clearUnwanted(
-    one: TaskReport,
-    found: { chunk: Chunk; slot: Slot } | null,
-    commands: Command[],
-  ): void {
+  private clearUnwanted(machine: Machine, one: TaskReport, commands: Command[]): void {
     if (one.state !== 'exited') {
       commands.push({ op: 'stop', task: one.task, attempt: one.attempt, graceS: 0 });
       return;
     }
     // Forgotten only after the state service knows the end: until then a new owner of this part
     // would take the placement for one whose start was lost.
-    const stored = found?.chunk.stored.live[String(one.task.index)];
-    if (stored?.[1] !== one.attempt) {
+    // Nor while a start sent straight to the worker may still arrive: it would run once more.
+    const chunk = this.find(one.task.job, one.task.index)?.chunk;
+    const stored = chunk?.stored.live[String(one.task.index)];
+    if (stored?.[1] !== one.attempt && !machine.direct?.attempts.has(one.attempt)) {
       commands.push({ op: 'forget', task: one.task, attempt: one.attempt });
     }
   }
@@ -416,24 +479,65 @@
   }
 
   /** Starts what is placed on the machine and not there, where its room allows. */
-  private startMissing(machine: Machine, listed: Set<Slot>, room: Room, commands: Command[]): void {
-    const usable = !machine.leaving && this.machineState(machine.name) !== 'drain';
-    for (const { chunk, slot } of this.live()) {
-      if (slot.machine !== machine.name || listed.has(slot)) continue;
-      if (!this.committed(chunk, slot)) continue;
-      const gone = this.spec(chunk.job) === null;
-      // Its absence proves that it does not run only if the worker has heard nobody but us.
-      if (machine.ours && (gone || !usable || slot.halting)) {
-        this.requeue(chunk, slot);
+  private startMissing(
+    machine: Machine,
+    listed: Set<Slot>,
+    room: Room,
+    all: boolean,
+    commands: Command[],
+  ): void {
+    const missing = [...this.live()].filter(
+      ({ slot }) => slot.machine === machine.name && !listed.has(slot),
+    );
+    for (const { chunk, slot } of missing) if (slot.startSent) take(room, chunk.record);
+    for (const { chunk, slot } of missing) {
+      if (!this.committed(chunk, slot) || slot.halting || this.spec(chunk.job) === null) continue;
+      if (slot.startSent ? !all : !fits(room, chunk.record)) continue;
+      if (!slot.startSent) take(room, chunk.record);
+      slot.startSent = true;
+      const task = { job: chunk.job, index: slot.index };
+      commands.push({ op: 'start', task, attempt: slot.attempt });
+    }
+  }
+
+  /**
+   * Sends what is new straight to the workers instead of waiting for their next reports. One call
+   * to a machine at a time; until it was answered or is fenced, none of its attempts is placed
+   * anew or forgotten, since it may be carried out minutes late.
+   */
+  private sendDirect(): void {
+    for (const machine of this.machines.values()) {
+      if (machine.direct || !machine.ours || machine.address === '' || !this.options.alive()) {
         continue;
       }
-      if (gone || !usable || !fits(room, chunk.record)) continue;
-      take(room, chunk.record);
-      commands.push({
-        op: 'start',
-        task: { job: chunk.job, index: slot.index },
-        attempt: slot.attempt,
-      });
+      if (this.health(machine) === 'silent') continue;
+      const commands = this.commandsFor(machine, false);
+      if (commands.length > 0) void this.sendTo(machine, commands);
+    }
+  }
+
+  private async sendTo(machine: Machine, commands: Command[]): Promise<void> {
+    const direct: Direct = {
+      session: machine.session,
+      attempts: new Set(commands.map((command) => command.attempt)),
+      fence: null,
+    };
+    machine.direct = direct;
+    try {
+      const result = await this.workers.command(
+        machine.address,
+        this.tokenOf(machine),
+        machine.session,
+        commands,
+      );
+      if (machine.direct === direct) machine.direct = null;
+      this.observe(machine, result.report);
+      this.wake();
+    } catch (error) {
+      if (machine.direct !== direct) return;
+      machine.bump++;
+      direct.fence = this.tokenOf(machine);
+      this.log.info({ machine: machine.name, error: String(error) }, 'direct commands unanswered');
     }
   }
 
@@ -450,6 +554,7 @@
       this.place();
       this.release();
       await this.flush();
+      this.sendDirect();
       await this.writeStatus();
       await this.snapshot();
     } finally {
@@ -579,6 +684,8 @@
       slot.attempt = this.nextAttempt();
       slot.runningAt = null;
       slot.halting = false;
+      slot.startSent = false;
+      slot.stopSent = false;
       slot.context = this.bandit?.context(this.taskClass(spec), target.machine.type, load) ?? null;
       chunk.dirty = true;
     }
--- /dev/null
+++ b/src/protocol/worker-api.ts
@@ -0,0 +1,69 @@
+import { NoAnswer, HttpClient } from '../transport/http-client.js';
+import type { Clock } from '../transport/clock.js';
+import type { Command, WorkerReport } from './terms.js';
+import { encodeDirect, parseReport } from './worker-codec.js';
+
+/** What became of commands sent straight to a worker. */
+export interface DirectResult {
+  executed: boolean;
+  /** The worker's report after it. */
+  report: WorkerReport;
+}
+
+/** Sends commands straight to workers; tests put a stand-in here. */
+export interface WorkerApi {
+  /** Throws where no readable answer came: the commands may still be carried out. */
+  command(
+    address: string,
+    token: number,
+    session: number,
+    commands: Command[],
+  ): Promise<DirectResult>;
+}
+
+export class HttpWorkerApi implements WorkerApi {
+  private readonly clients = new Map<string, HttpClient>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly timeoutMs: number,
+    private readonly maxClients: number,
+  ) {}
+
+  private client(address: string): HttpClient {
+    let client = this.clients.get(address);
+    if (client) this.clients.delete(address);
+    else client = new HttpClient(address, this.clock, 1);
+    // Kept in the order of use; the one unused for longest makes room.
+    this.clients.set(address, client);
+    if (this.clients.size > this.maxClients) {
+      const [oldest, unused] = this.clients.entries().next().value ?? [];
+      if (oldest !== undefined) this.clients.delete(oldest);
+      unused?.close();
+    }
+    return client;
+  }
+
+  async command(
+    address: string,
+    token: number,
+    session: number,
+    commands: Command[],
+  ): Promise<DirectResult> {
+    const answer = await this.client(address).call(
+      'POST',
+      '/commands',
+      encodeDirect(token, session, commands),
+      this.timeoutMs,
+    );
+    const parsed = parseReport((answer.body ?? {}) as Record<string, unknown>);
+    if ((answer.status !== 200 && answer.status !== 409) || !parsed.ok) {
+      throw new NoAnswer(`commands: odd answer ${answer.status}`);
+    }
+    return { executed: answer.status === 200, report: parsed.value };
+  }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+  }
+}
--- a/src/protocol/worker-codec.ts
+++ b/src/protocol/worker-codec.ts
@@ -84,7 +84,7 @@
   };
 }
 
-export function encodeCommands(commands: Command[]): unknown[] {
+function encodeCommands(commands: Command[]): unknown[] {
   return commands.map((command) => ({
     verb: OPS[command.op],
     larva: taskName(command.task),
@@ -97,6 +97,10 @@
   return { mandate: token, calls: encodeCommands(commands) };
 }
 
+export function encodeDirect(token: number, session: number, commands: Command[]): unknown {
+  return { mandate: token, flight: session, calls: encodeCommands(commands) };
+}
+
 export function encodeRedirect(node: string | null): unknown {
   return node === null ? {} : { hive: node };
 }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -91,6 +91,15 @@
       await world.run(40);
     },
   },
+  {
+    name: 'direct commands that arrive late',
+    trouble: async (world) => {
+      for (const worker of world.workers.values()) worker.holdDirectMs = 9000;
+      await world.run(25);
+      for (const worker of world.workers.values()) worker.holdDirectMs = 0;
+      await world.run(30);
+    },
+  },
   {
     name: 'reports that arrive late',
     trouble: async (world) => {
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -21,14 +21,22 @@
   private token = 0;
   private renewedAt: number;
   private target = 0;
-  private dead = false;
+  dead = false;
+  /** Direct calls to this machine are carried out this much later, and their answers are lost. */
+  holdDirectMs = 0;
   /** Reports sent from now on are held back this long, and their answers are lost. */
   holdReportsMs = 0;
   private reporting = false;
 
   constructor(
     private readonly world: World,
-    readonly machine: { name: string; type: string; zone: string; spot: boolean },
+    readonly machine: {
+      name: string;
+      address: string;
+      type: string;
+      zone: string;
+      spot: boolean;
+    },
   ) {
     this.renewedAt = world.clock.now();
     this.target = world.chance(world.members.length);
@@ -45,6 +53,16 @@
     for (const entry of this.tasks) if (entry[1].state === 'running') yield entry;
   }
 
+  /** A direct call: carried out if token and session match, perhaps late. */
+  command(token: number, session: number, calls: WireCommand[]): { status: number; body: string } {
+    const match = !this.dead && token >= this.token && session === this.session;
+    if (match) {
+      this.token = token;
+      for (const call of calls) this.execute(call);
+    }
+    return { status: match ? 200 : 409, body: this.reportBody() };
+  }
+
   private tick(): void {
     if (this.dead) return;
     if (this.world.clock.now() - this.renewedAt > 24_000) {
@@ -64,7 +82,7 @@
   private reportBody(): string {
     return JSON.stringify({
       moth: this.machine.name,
-      endpoint: '10.1.0.1:9000',
+      endpoint: this.machine.address,
       breed: this.machine.type,
       grove: this.machine.zone,
       windfall: this.machine.spot,
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -3,8 +3,11 @@
 import { ControllerNode, type Outside } from '../../src/coordination/node.js';
 import { readSettings, type Settings } from '../../src/protocol/settings.js';
 import type { CloudApi } from '../../src/protocol/cloud-api.js';
-import type { ListedMachine, MachineType } from '../../src/protocol/terms.js';
+import type { Command, ListedMachine, MachineType } from '../../src/protocol/terms.js';
 import type { Log } from '../../src/bookkeeping/log.js';
+import type { DirectResult } from '../../src/protocol/worker-api.js';
+import { encodeDirect, parseReport } from '../../src/protocol/worker-codec.js';
+import { NoAnswer } from '../../src/transport/http-client.js';
 import { SimClock } from './clock.js';
 import { SimState } from './state.js';
 import { SimWorker } from './worker.js';
@@ -151,6 +154,10 @@
         watch: (prefix, since, wait) => guard(api.watch(prefix, since, wait)),
       },
       cloud: this.cloud(),
+      workers: {
+        command: (address, token, session, commands) =>
+          guard(this.direct(name, address, token, session, commands)),
+      },
       tellPeer: (peer, message) => {
         const other = this.nodes.get(peer);
         if (!other || this.cut(name, peer)) return false;
@@ -187,6 +194,30 @@
     return this.cuts.has(`${x}>${y}`) || this.cuts.has(`${y}>${x}`);
   }
 
+  private direct(
+    node: string,
+    address: string,
+    token: number,
+    session: number,
+    commands: Command[],
+  ): Promise<DirectResult> {
+    return new Promise((resolve, reject) => {
+      const machine = [...this.rented.values()].find((one) => one.address === address);
+      const worker = machine ? this.workers.get(machine.name) : undefined;
+      const cut = !worker || this.cut(node, worker.machine.name);
+      const held = worker?.holdDirectMs ?? 0;
+      const { calls } = encodeDirect(token, session, commands) as { calls: never[] };
+      this.clock.after(2000, () => reject(new NoAnswer('timed out')));
+      if (cut) return;
+      this.clock.after(1 + held, () => {
+        const reply = worker.command(token, session, calls);
+        const parsed = parseReport(JSON.parse(reply.body) as Record<string, unknown>);
+        if (parsed.ok && held === 0)
+          resolve({ executed: reply.status === 200, report: parsed.value });
+      });
+    });
+  }
+
   private cloud(): CloudApi {
     return {
       types: () => Promise.resolve(structuredClone(TYPES)),
@@ -220,7 +251,7 @@
       const entry = this.rented.get(name);
       if (!entry) return;
       entry.state = 'running';
-      this.workers.set(name, new SimWorker(this, { name, type, zone, spot }));
+      this.workers.set(name, new SimWorker(this, { name, address, type, zone, spot }));
     });
     return name;
   }
