--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -638,10 +638,12 @@
 
   private usableMachines(): { machine: Machine; room: Room }[] {
     const rooms = new Map<string, { machine: Machine; room: Room }>();
-    const names = [...this.machines.keys()].sort();
-    for (const name of names) {
-      const machine = this.machines.get(name);
-      if (!machine || this.health(machine) !== 'ok') continue;
+    const order = [...this.machines.values()].sort(
+      (a, b) => Number(a.spot) - Number(b.spot) || (a.name < b.name ? -1 : 1),
+    );
+    for (const machine of order) {
+      const { name } = machine;
+      if (this.health(machine) !== 'ok') continue;
       if ((this.machineState(name) ?? 'rented') !== 'rented') continue;
       rooms.set(name, { machine, room: this.capacity(machine.type) });
     }
@@ -745,7 +747,10 @@
         }
       }
     }
+    // Services fill the fixed order from its start, arrays from its end, where the spot machines
+    // are: what runs for long stays together, and the machines between the two fall idle.
     const ofType = open.filter(({ machine }) => machine.type === best);
+    if (spec.kind === 'array') ofType.reverse();
     return ofType.find(({ machine }) => machine.images.has(spec.image)) ?? ofType[0] ?? null;
   }
 
