--- a/src/constants.ts
+++ b/src/constants.ts
@@ -130,3 +130,7 @@
 export const STUCK_LEAST_MS = 30_000;
 /** ms; a direct call is given up after this and its commands are fenced: workers answer at once. */
 export const DIRECT_TIMEOUT_MS = 2_000;
+/** Owners' estimates are often wrong by half; renting counts on tasks this much longer. */
+export const ESTIMATE_MARGIN = 1.25;
+/** s; what a running task is taken to have left when the fleet's future room is reckoned. */
+export const RUNNING_LEFT_S = 15;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,10 +1,12 @@
 import {
   CATALOG_PERIOD_MS,
   CLOUD_SHARE,
+  ESTIMATE_MARGIN,
   GONE_KEEP_MS,
   NO_CAPACITY_PAUSE_MS,
   RENT_MAX,
   RETURN_MAX,
+  RUNNING_LEFT_S,
   SILENT_RETURN_MAX,
   SILENT_RETURN_PERIOD_MS,
   STUCK_BOOTS,
@@ -17,10 +19,10 @@
 import type { View } from '../bookkeeping/view.js';
 import type { CloudApi } from '../protocol/cloud-api.js';
 import type { Change, Guard } from '../protocol/state-api.js';
-import { rankOf, type ListedMachine, type MachineType } from '../protocol/terms.js';
+import { rankOf, type JobSpec, type ListedMachine, type MachineType } from '../protocol/terms.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
-import { howMany, mayUse, type Picture, type Slotted } from './leader.js';
+import { howMany, mayUse, type Picture, type Slotted, type Unmet } from './leader.js';
 
 export interface FleetOptions {
   term: number;
@@ -286,10 +288,7 @@
     const offers = this.offers();
     const wants = new Map<string, { offer: Offer; count: number; rooms: Room[] }>();
     let size = picture.machines.length;
-    const need = [...picture.unmet].sort(
-      (a, b) => rankOf(b.spec.priority) - rankOf(a.spec.priority),
-    );
-    for (const { spec, count } of need) {
+    for (const { spec, count } of this.beyondFleet(picture, booting)) {
       let left = count;
       const fill = (rooms: Room[]): void => {
         for (const room of rooms) {
@@ -327,6 +326,52 @@
     return [...wants.values()].map(({ offer, count }) => ({ offer, count }));
   }
 
+  /**
+   * Of the tasks that found no room, those for which the fleet will not find it in time: a machine
+   * takes as long to boot as many a task runs, so what the present machines can finish by its
+   * deadline waits for them. Jobs without a deadline count as due at once.
+   */
+  private beyondFleet(picture: Picture, booting: Slotted[]): { spec: JobSpec; count: number }[] {
+    const wall = this.clock.wall();
+    const due = (one: Unmet): number =>
+      one.spec.deadlineS === null ? -Infinity : one.at + one.spec.deadlineS * 1000;
+    const order = [...picture.unmet].sort(
+      (a, b) => rankOf(b.spec.priority) - rankOf(a.spec.priority) || due(a) - due(b),
+    );
+    let cpus = 0;
+    for (const one of picture.machines) {
+      if (one.health === 'ok') cpus += Math.max(0, one.cpus) + one.lowCpus;
+    }
+    for (const one of booting) cpus += one.cpus;
+    const wanted: { spec: JobSpec; count: number }[] = [];
+    // CPU seconds ahead of a job: what runs is half done on average.
+    let ahead = 0;
+    for (const one of picture.machines) ahead += one.lowCpus * RUNNING_LEFT_S;
+    for (const one of order) {
+      const { spec, count } = one;
+      if (spec.kind === 'service' || spec.deadlineS === null || spec.cpus <= 0) {
+        wanted.push({ spec, count });
+        continue;
+      }
+      const runS = Math.max(1, spec.estimateS) * ESTIMATE_MARGIN;
+      const slackS = (due(one) - wall) / 1000 - runS;
+      const work = count * spec.cpus * runS;
+      const inTime = Math.max(0, cpus * slackS - ahead);
+      const beyond = Math.min(count, Math.ceil((work - inTime) / (spec.cpus * runS)));
+      ahead += work;
+      if (beyond <= 0) continue;
+      // Each new slot runs several tasks in a row where the deadline leaves time for it.
+      const rounds = Math.max(1, Math.floor((slackS - this.quickestBootS()) / runS) + 1);
+      wanted.push({ spec, count: Math.ceil(beyond / rounds) });
+    }
+    return wanted;
+  }
+
+  private quickestBootS(): number {
+    const types = this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+    return types.reduce((least, type) => Math.min(least, type.bootS), Infinity);
+  }
+
   /** Free room on ordinary machines, kept so that urgent work need not wait for a boot. */
   private addHeadroom(
     picture: Picture,
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -47,6 +47,8 @@
 export interface Unmet {
   spec: JobSpec;
   count: number;
+  /** Time of day of its acceptance in ms. */
+  at: number;
 }
 
 export interface Picture {
@@ -242,7 +244,7 @@
       const given = this.spreadOut(job, allowed, machines, changes);
       use.cpus += job.spec.cpus * given;
       use.gpus += job.spec.gpus * given;
-      if (given < allowed) unmet.push({ spec: job.spec, count: allowed - given });
+      if (given < allowed) unmet.push({ spec: job.spec, count: allowed - given, at: job.at });
     }
     this.picture = { machines: [...machines.values()], unmet };
     for (let at = 0; at < changes.length; at += this.options.txnOps) {
