Urgent starts go where the image is, dearest idle machines go first, tasks pay their share

Cause: waits of the live services were image fetches on the slow type (p90 10 s); the fleet gave its cheapest room back first; a task on a shared machine was charged the whole machine's price.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -134,3 +134,5 @@
 export const ESTIMATE_MARGIN = 1.25;
 /** s; what a running task is taken to have left when the fleet's future room is reckoned. */
 export const RUNNING_LEFT_S = 15;
+/** Share of a start aim that the fetch of an image may take; the rest is for deciding and sending. */
+export const FETCH_SHARE = 0.6;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -214,7 +214,8 @@
       if (one.health === 'ok' && !one.spot) headroom += Math.max(0, one.cpus);
     }
     const drain: Slotted[] = [];
-    const sorted = [...picture.machines].sort((a, b) => b.cpus - a.cpus);
+    // The dearest room goes first.
+    const sorted = [...picture.machines].sort((a, b) => this.cpuPrice(b) - this.cpuPrice(a));
     for (const machine of sorted) {
       if (machine.health === 'faulty') drain.push(machine);
       if (machine.health !== 'ok' || machine.tasks > 0 || picture.unmet.length > 0) {
@@ -235,6 +236,12 @@
     }
   }
 
+  private cpuPrice(machine: Slotted): number {
+    const types = this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+    const type = types.find((one) => one.name === machine.type);
+    return type ? (machine.spot ? type.spotPrice : type.price) / type.cpus : 0;
+  }
+
   // --- Renting -------------------------------------------------------------------------------
 
   private async rent(picture: Picture): Promise<void> {
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -205,6 +205,7 @@
           valueBytes: settings.valueBytes,
           alpha: settings.placement.alpha,
           penalty: settings.placement.penalty,
+          startWithinS: settings.startWithinS,
           snapshotMs: settings.placement.snapshotS * 1000,
           alive: () => this.roles.owned(role)?.term === owned.term,
         },
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -6,6 +6,7 @@
   FAILURE_PAUSE_MAX_S,
   FAILURE_PAUSE_S,
   FAULTY_ERRORS,
+  FETCH_SHARE,
   LEASE_MARGIN_MS,
   RELEASE_MS,
   SILENT_REPORTS,
@@ -124,6 +125,8 @@
   alpha: number;
   penalty: number;
   snapshotMs: number;
+  /** Seconds within which tasks of a class should start. */
+  startWithinS: Readonly<Record<string, number>>;
   /** Still the owner, as far as the view knows. */
   alive: () => boolean;
 }
@@ -452,8 +455,7 @@
     const spec = this.spec(chunk.job);
     if (one.cause === 'done') {
       if (slot.context && slot.runningAt !== null && this.bandit) {
-        const price = this.price(machine);
-        const cost = ((now - slot.runningAt) / 1000 / 3600) * price;
+        const cost = ((now - slot.runningAt) / 1000) * this.pricePerS(machine, chunk.record);
         this.bandit.finished(machine.type, slot.context, cost);
       }
       machine.errors.clear();
@@ -579,9 +581,19 @@
     return true;
   }
 
-  private price(machine: Machine): number {
+  /**
+   * What a task costs per second on a machine. The paper's workers run one task at a time; ours
+   * share a machine, so a task pays for the share that it keeps others from.
+   */
+  private pricePerS(machine: Machine, task: Room): number {
     const type = this.types().find((one) => one.name === machine.type);
-    return (machine.spot ? type?.spotPrice : type?.price) ?? 0;
+    if (!type) return 0;
+    const share = Math.max(
+      task.cpus / type.cpus,
+      type.gpus > 0 ? task.gpus / type.gpus : 0,
+      task.memoryGb / type.memoryGb,
+    );
+    return ((machine.spot ? type.spotPrice : type.price) * share) / 3600;
   }
 
   private capacity(typeName: string): Room {
@@ -728,10 +740,17 @@
     machines: { machine: Machine; room: Room }[],
     load: Map<string, number>,
   ): { machine: Machine; room: Room } | null {
-    const open = machines.filter(
+    const free = machines.filter(
       ({ machine, room }) => fits(room, chunk.record) && this.allows(spec, chunk, machine),
     );
-    if (open.length === 0 || !this.bandit) return null;
+    if (free.length === 0 || !this.bandit) return null;
+    // Work with an aim for its start goes where its image is there in time, if that is anywhere.
+    const within = this.options.startWithinS[spec.class];
+    const quick =
+      within === undefined
+        ? []
+        : free.filter(({ machine }) => this.fetchS(machine, spec) <= within * FETCH_SHARE);
+    const open = quick.length > 0 ? quick : free;
     const types = [...new Set(open.map(({ machine }) => machine.type))];
     let best = types[0] ?? '';
     if (types.length > 1) {
@@ -754,6 +773,13 @@
     return ofType.find(({ machine }) => machine.images.has(spec.image)) ?? ofType[0] ?? null;
   }
 
+  /** Seconds that a machine will take to fetch a job's image. */
+  private fetchS(machine: Machine, spec: JobSpec): number {
+    if (machine.images.has(spec.image)) return 0;
+    const type = this.types().find((one) => one.name === machine.type);
+    return spec.imageGb / Math.max(1e-6, type?.fetchGbPerS ?? 0);
+  }
+
   /** Room made by stopping work of lower priority; the newest of the lowest goes first. */
   private preempt(
     spec: JobSpec,
