--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -57,7 +57,7 @@
 const operators = v.object({
   placement: v.optional(
     v.object({
-      alpha: v.optional(amount, 0.002),
+      alpha: v.optional(amount, 2),
       penalty: v.optional(positive, 2),
       snapshot_s: v.optional(positive, 30),
     }),
