--- a/src/constants.ts
+++ b/src/constants.ts
@@ -136,3 +136,5 @@
 export const RUNNING_LEFT_S = 15;
 /** Share of a start aim that the fetch of an image may take; the rest is for deciding and sending. */
 export const FETCH_SHARE = 0.6;
+/** Share of the CPUs under lower work that counts as room for urgent work. */
+export const PREEMPTIBLE_SHARE = 0.5;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -4,6 +4,7 @@
   ESTIMATE_MARGIN,
   GONE_KEEP_MS,
   NO_CAPACITY_PAUSE_MS,
+  PREEMPTIBLE_SHARE,
   RENT_MAX,
   RETURN_MAX,
   RUNNING_LEFT_S,
@@ -388,7 +389,8 @@
   ): void {
     let free = 0;
     for (const one of [...picture.machines.filter((each) => each.health === 'ok'), ...booting]) {
-      if (!one.spot) free += Math.max(0, one.cpus);
+      // What urgent work may take from lower work counts too, though it costs work done.
+      if (!one.spot) free += Math.max(0, one.cpus) + one.lowCpus * PREEMPTIBLE_SHARE;
     }
     for (const want of wants.values()) {
       if (!want.offer.spot) for (const room of want.rooms) free += Math.max(0, room.cpus);
