In overload the largest job steps back, so that most are in time

Cause: earliest deadline first let hopeless jobs delay all after them once a burst exceeded the fleet. Ruled out: renting (the fleet stood at its limit).

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -24,6 +24,7 @@
 import type { Change, Guard } from '../protocol/state-api.js';
 import { rankOf, type JobSpec, type MachineType } from '../protocol/terms.js';
 import type { Team } from '../protocol/settings.js';
+import type { Clock } from '../transport/clock.js';
 import { partOf, type Member } from './rendezvous.js';
 
 /** A machine as the leader counts it. */
@@ -69,6 +70,42 @@
   unassigned: number;
   /** Fits into its team's guarantee together with the team's earlier jobs. */
   guaranteed: boolean;
+  /** 0: makes its deadline in this order; 1: would make others late, or is late already. */
+  tier: number;
+}
+
+/** What a job still needs of the fleet until its deadline; times in seconds from now. */
+export interface Claim {
+  /** CPU seconds. */
+  work: number;
+  /** Run time of one task. */
+  runS: number;
+  dueS: number;
+}
+
+/**
+ * Which claims to let be late so that most of them are in time (Moore and Hodgson): in the order
+ * of their deadlines, and whenever one would be late, the largest so far steps back.
+ */
+export function letBeLate(claims: readonly Claim[], cpus: number): Set<Claim> {
+  const late = new Set<Claim>();
+  const kept: Claim[] = [];
+  let work = 0;
+  for (const claim of [...claims].sort((a, b) => a.dueS - b.dueS)) {
+    if (claim.runS > claim.dueS) {
+      late.add(claim);
+      continue;
+    }
+    kept.push(claim);
+    work += claim.work;
+    while (kept.length > 0 && work / Math.max(1, cpus) > claim.dueS) {
+      const largest = kept.reduce((a, b) => (b.work > a.work ? b : a));
+      kept.splice(kept.indexOf(largest), 1);
+      work -= largest.work;
+      late.add(largest);
+    }
+  }
+  return late;
 }
 
 export interface LeaderOptions {
@@ -127,6 +164,7 @@
     private readonly options: LeaderOptions,
     private readonly view: View,
     private readonly committer: Committer,
+    private readonly clock: Clock,
     private readonly log: Log,
   ) {}
 
@@ -298,7 +336,11 @@
         waiting -= count;
       }
     }
-    return this.order(used);
+    let cpus = 0;
+    for (const machine of machines.values()) {
+      if (machine.health === 'ok') cpus += Math.max(0, machine.cpus) + machine.lowCpus;
+    }
+    return this.order(used, cpus);
   }
 
   private occupy(machine: Slotted, spec: JobSpec, count: number): void {
@@ -309,7 +351,7 @@
     machine.tasks += count;
   }
 
-  private order(used: Map<string, Usage>): Open[] {
+  private order(used: Map<string, Usage>, cpus: number): Open[] {
     const jobs: Open[] = [];
     for (const [, held] of this.view.below<JobRecord>(JOBS)) {
       const { spec, at } = held.value;
@@ -323,8 +365,10 @@
         chunks,
         unassigned: Math.max(0, spec.tasks - assigned),
         guaranteed: false,
+        tier: 0,
       });
     }
+    this.setTiers(jobs, cpus);
     jobs.sort((a, b) => a.at - b.at);
     const claimed = new Map<string, Usage>();
     for (const job of jobs) {
@@ -347,12 +391,37 @@
         (a, b) =>
           rankOf(b.spec.priority) - rankOf(a.spec.priority) ||
           Number(b.guaranteed) - Number(a.guaranteed) ||
+          a.tier - b.tier ||
           (due(a) === due(b) ? 0 : due(a) - due(b)) ||
           share(a) - share(b) ||
           a.at - b.at,
       );
   }
 
+  private setTiers(jobs: Open[], cpus: number): void {
+    const wall = this.clock.wall();
+    const claims = new Map<Claim, Open>();
+    for (const job of jobs) {
+      const { spec } = job;
+      if (spec.deadlineS === null) continue;
+      let done = 0;
+      let live = 0;
+      for (const chunk of job.chunks) {
+        done += chunk.done;
+        live += chunk.liveCount;
+      }
+      // What runs is half done on average.
+      const left = spec.tasks - done - live / 2;
+      const runS = Math.max(1, spec.estimateS);
+      const dueS = (job.at - wall) / 1000 + spec.deadlineS;
+      claims.set({ work: left * spec.cpus * runS, runS: live > 0 ? runS / 2 : runS, dueS }, job);
+    }
+    for (const claim of letBeLate([...claims.keys()], cpus)) {
+      const job = claims.get(claim);
+      if (job) job.tier = 1;
+    }
+  }
+
   /** Gives up to `allowed` tasks to parts with room; returns how many. */
   private spreadOut(
     job: Open,
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -243,6 +243,7 @@
         },
         this.view,
         this.committer,
+        outside.clock,
         log,
       );
       this.fleet = new Fleet(
