Serve users through a peer when the state service is out of reach

Cause: a node cut from the state service alone kept its users waiting 4 s for a 503; restarts left nodes unready until their keys were read. Also hints after assignments and shorter watch spacing.

--- /dev/null
+++ b/src/bookkeeping/reach.ts
@@ -0,0 +1,40 @@
+import { REACH_DOUBT_MS } from '../constants.js';
+import { Refused, type StateApi } from '../protocol/state-api.js';
+import type { Clock } from '../transport/clock.js';
+
+/** Notes, from the requests that are made anyway, whether this node reaches the state service. */
+export class Reach {
+  private okAt = -Infinity;
+  private failedAt = -Infinity;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** False once requests have only failed for a while; one node alone may be refused. */
+  get there(): boolean {
+    return this.okAt >= this.failedAt || this.clock.now() - this.okAt < REACH_DOUBT_MS;
+  }
+
+  /** The same service, with the outcome of every request noted. */
+  watch(api: StateApi): StateApi {
+    const note = async <T>(call: Promise<T>): Promise<T> => {
+      try {
+        const result = await call;
+        this.okAt = this.clock.now();
+        return result;
+      } catch (error) {
+        const limited = error instanceof Refused && error.status !== 503;
+        if (limited) this.okAt = this.clock.now();
+        else this.failedAt = this.clock.now();
+        throw error;
+      }
+    };
+    return {
+      get: (key) => note(api.get(key)),
+      list: (prefix, after) => note(api.list(prefix, after)),
+      txn: (guards, changes) => note(api.txn(guards, changes)),
+      grant: (ttlMs) => note(api.grant(ttlMs)),
+      extend: (lease) => note(api.extend(lease)),
+      watch: (prefix, since, waitMs) => note(api.watch(prefix, since, waitMs)),
+    };
+  }
+}
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -39,7 +39,7 @@
 /** ms; a watch returns after this without a change, which confirms that the view is current. */
 export const WATCH_HOLD_MS = 1_000;
 /** ms; least time between two watch requests: changes close together share one answer. */
-export const WATCH_SPACING_MS = 120;
+export const WATCH_SPACING_MS = 60;
 /** ms; first and longest pause after a failed request; the pause doubles in between. */
 export const BACKOFF_FIRST_MS = 100;
 export const BACKOFF_LAST_MS = 2_000;
@@ -52,7 +52,7 @@
 /** ms; pace of the roles' loops when nothing woke them. */
 export const LOOP_MS = 500;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
-export const LOOP_GATHER_MS = 40;
+export const LOOP_GATHER_MS = 20;
 /** ms; submissions that come within this time share a transaction. */
 export const GROUP_COMMIT_MS = 15;
 /** ms; a poll may wait this long for its check before it is answered 503 (users wait 2 s). */
@@ -138,3 +138,5 @@
 export const FETCH_SHARE = 0.6;
 /** Share of the CPUs under lower work that counts as room for urgent work. */
 export const PREEMPTIBLE_SHARE = 0.5;
+/** ms; failures only count as being cut off after this long without a success. */
+export const REACH_DOUBT_MS = 700;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -168,12 +168,13 @@
     private readonly log: Log,
   ) {}
 
-  async round(): Promise<void> {
-    if (this.busy) return;
+  /** True: something was written that others wait for. */
+  async round(): Promise<boolean> {
+    if (this.busy) return false;
     this.busy = true;
     try {
       await this.finishJobs();
-      await this.assign();
+      return await this.assign();
     } finally {
       this.busy = false;
     }
@@ -260,7 +261,7 @@
     return machines;
   }
 
-  private async assign(): Promise<void> {
+  private async assign(): Promise<boolean> {
     const machines = this.machines();
     const used = new Map<string, Usage>();
     const open = this.openJobs(used, machines);
@@ -298,8 +299,9 @@
       }
       const result = await this.committer.commit('leader', guards, group, this.options.alive);
       this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
-      if (result.kind !== 'done') return;
+      if (result.kind !== 'done') break;
     }
+    return changes.length > 0;
   }
 
   /** Jobs in the order of their turn, and what each team uses; takes room for what is assigned. */
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -21,9 +21,10 @@
 import { Gate } from '../bookkeeping/gate.js';
 import { roleKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
+import { Reach } from '../bookkeeping/reach.js';
 import { View } from '../bookkeeping/view.js';
 import { HttpCloudApi, type CloudApi } from '../protocol/cloud-api.js';
-import { decodePeer, encodePeer, type PeerMessage } from '../protocol/peer-messages.js';
+import { decodePeer, encodePeer, type Ask, type PeerMessage } from '../protocol/peer-messages.js';
 import type { Settings } from '../protocol/settings.js';
 import { HttpStateApi, type StateApi } from '../protocol/state-api.js';
 import type { WorkerReport } from '../protocol/terms.js';
@@ -49,8 +50,12 @@
   workers: WorkerApi;
   /** Sends a message to a peer; false: no link to it. */
   tellPeer(node: string, message: PeerMessage): boolean;
+  /** Peers to whom a link is open. */
+  peersThere(): string[];
 }
 
+type UserAsk = Exclude<Ask, 'report'>;
+
 interface Loop {
   wake(): void;
 }
@@ -66,6 +71,7 @@
   private leaderTerm = 0;
   private readonly partTerms = new Map<string, number>();
   private readonly committer: Committer;
+  private readonly reach: Reach;
   private readonly members: Member[];
   private readonly redirected = new Map<string, number>();
   private readonly relays = new Map<number, (reply: HttpReply) => void>();
@@ -79,7 +85,9 @@
     private readonly log: Log,
     incarnation: string,
   ) {
-    const { clock, state } = outside;
+    const { clock } = outside;
+    this.reach = new Reach(clock);
+    const state = this.reach.watch(outside.state);
     const gate = new Gate(clock, settings.stateRps, settings.stateWriteRps, settings.txnOps);
     this.view = new View(state, gate, clock, log);
     this.committer = new Committer(state, gate, this.view, clock, log);
@@ -124,8 +132,41 @@
     this.view.stop();
   }
 
+  /**
+   * Whether users' requests find an answer here: from this node, or through it from a peer. In an
+   * outage that all nodes share it stays so, since a node taken out is only let back in late.
+   */
   get ready(): boolean {
-    return this.front.ready && this.roles.current;
+    return this.front.ready || this.outside.peersThere().length > 0;
+  }
+
+  /** Serves a user; a node that does not reach the state service asks a peer that may. */
+  async serve(ask: UserAsk, about: string, text: string | null): Promise<HttpReply> {
+    if (!this.front.ready || !this.reach.there) {
+      for (const peer of this.outside.peersThere()) {
+        const reply = await this.relay(peer, ask, about, text ?? '');
+        if (reply && reply.status !== 503) return reply;
+      }
+      if (!this.front.ready || ask !== 'poll') {
+        return {
+          status: 503,
+          body: { error: 'state service out of reach' },
+          retryAfterS: RETRY_AFTER_S,
+        };
+      }
+    }
+    return this.serveHere(ask, about, text);
+  }
+
+  private serveHere(ask: UserAsk, about: string, text: string | null): Promise<HttpReply> {
+    switch (ask) {
+      case 'submit':
+        return this.front.submit(text);
+      case 'poll':
+        return this.front.poll(about);
+      case 'cancel':
+        return this.front.cancel(about);
+    }
   }
 
   /** Runs a round now and again, and soon after it is woken; no failure ends it. */
@@ -275,7 +316,7 @@
   }
 
   private async leaderRound(): Promise<void> {
-    await this.leader?.round();
+    if (await this.leader?.round()) this.poke();
   }
 
   private async fleetRound(): Promise<void> {
@@ -308,7 +349,7 @@
     }
     // Back so soon after a redirect: it can't reach the owner, but perhaps this node can.
     this.redirected.set(report.machine, now);
-    return (await this.relay(owner, text ?? '')) ?? unsure;
+    return (await this.relay(owner, 'report', '', text ?? '')) ?? unsure;
   }
 
   /** Null: this node may not answer for the part. */
@@ -324,10 +365,10 @@
     return { status: 200, body: encodeReportAnswer(answer.token, answer.commands) };
   }
 
-  private relay(owner: string, report: string): Promise<HttpReply | null> {
+  private relay(owner: string, ask: Ask, about: string, text: string): Promise<HttpReply | null> {
     return new Promise((resolve) => {
       const id = ++this.relayCount;
-      if (!this.outside.tellPeer(owner, { kind: 'relay', id, report })) {
+      if (!this.outside.tellPeer(owner, { kind: 'relay', id, ask, about, text })) {
         resolve(null);
         return;
       }
@@ -355,26 +396,35 @@
     for (const peer of this.settings.peers) this.outside.tellPeer(peer.node, message);
   }
 
+  private async answerRelay(
+    message: Extract<PeerMessage, { kind: 'relay' }>,
+  ): Promise<HttpReply | null> {
+    if (message.ask !== 'report') {
+      return this.serveHere(message.ask, message.about, message.text);
+    }
+    const json = parseJson(message.text);
+    const parsed = json.ok ? parseReport(json.value) : json;
+    if (!parsed.ok) return null;
+    const part = partOf(parsed.value.machine, parsed.value.zone, this.members);
+    return this.answerReport(part, parsed.value);
+  }
+
   heard(message: PeerMessage, answer: (message: PeerMessage) => void): void {
     switch (message.kind) {
       case 'poke':
         this.view.hurry();
         return;
-      case 'relay': {
-        const json = parseJson(message.report);
-        const parsed = json.ok ? parseReport(json.value) : json;
-        if (!parsed.ok) return;
-        const part = partOf(parsed.value.machine, parsed.value.zone, this.members);
-        const reply = this.answerReport(part, parsed.value);
-        if (!reply) return;
-        answer({
-          kind: 'relayed',
-          id: message.id,
-          status: reply.status,
-          body: JSON.stringify(reply.body),
+      case 'relay':
+        void this.answerRelay(message).then((reply) => {
+          if (!reply) return;
+          answer({
+            kind: 'relayed',
+            id: message.id,
+            status: reply.status,
+            body: JSON.stringify(reply.body),
+          });
         });
         return;
-      }
       case 'relayed':
         this.relays.get(message.id)?.({ status: message.status, body: message.body });
     }
@@ -405,6 +455,7 @@
         state: new HttpStateApi(stateHttp, watchHttp, STATE_TIMEOUT_MS),
         cloud: new HttpCloudApi(cloudHttp, CLOUD_TIMEOUT_MS, LIST_PAGE),
         workers,
+        peersThere: () => [...links].filter(([, link]) => link.connected).map(([name]) => name),
         tellPeer: (name, message) => links.get(name)?.send(encodePeer(message)) ?? false,
       },
       log,
@@ -421,9 +472,13 @@
     };
     const routes: Route[] = [
       { method: 'POST', path: '/checkin', handle: ({ text }) => node.report(text) },
-      { method: 'POST', path: '/v2/runs', handle: ({ text }) => node.front.submit(text) },
-      { method: 'GET', path: '/v2/runs/:id', handle: ({ id }) => node.front.poll(id) },
-      { method: 'POST', path: '/v2/runs/:id/cancel', handle: ({ id }) => node.front.cancel(id) },
+      { method: 'POST', path: '/v2/runs', handle: ({ text }) => node.serve('submit', '', text) },
+      { method: 'GET', path: '/v2/runs/:id', handle: ({ id }) => node.serve('poll', id, null) },
+      {
+        method: 'POST',
+        path: '/v2/runs/:id/cancel',
+        handle: ({ id }) => node.serve('cancel', id, null),
+      },
       {
         method: 'GET',
         path: '/ready',
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -8,9 +8,14 @@
  */
 export type PeerMessage =
   | { kind: 'poke'; node: string; revision: number }
-  | { kind: 'relay'; id: number; report: string }
+  /** A worker's or user's request that the sender can't serve itself. */
+  | { kind: 'relay'; id: number; ask: Ask; about: string; text: string }
   | { kind: 'relayed'; id: number; status: number; body: string };
 
+/** What a relayed request asks; `about` is the job's id where there is one. */
+export const ASKS = ['report', 'submit', 'poll', 'cancel'] as const;
+export type Ask = (typeof ASKS)[number];
+
 const POKE = 1;
 const RELAY = 2;
 const RELAYED = 3;
@@ -27,7 +32,9 @@
     case 'relay':
       writer.uint32((RELAY << 3) | 2).fork();
       writer.uint32((1 << 3) | 0).uint64(message.id);
-      writer.uint32((2 << 3) | 2).string(message.report);
+      writer.uint32((2 << 3) | 0).uint32(ASKS.indexOf(message.ask));
+      writer.uint32((3 << 3) | 2).string(message.about);
+      writer.uint32((4 << 3) | 2).string(message.text);
       break;
     case 'relayed':
       writer.uint32((RELAYED << 3) | 2).fork();
@@ -66,8 +73,11 @@
   switch (kind) {
     case POKE:
       return { kind: 'poke', node: text(1), revision: integer(2) };
-    case RELAY:
-      return { kind: 'relay', id: integer(1), report: text(2) };
+    case RELAY: {
+      const ask = ASKS[integer(2)];
+      if (!ask) return null;
+      return { kind: 'relay', id: integer(1), ask, about: text(3), text: text(4) };
+    }
     case RELAYED:
       return { kind: 'relayed', id: integer(1), status: integer(2), body: text(3) };
     default:
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -73,6 +73,12 @@
   };
 }
 
+/** A relayed answer's body is still text. */
+function unwrap(reply: { status: number; body: unknown }): { status: number; body: unknown } {
+  const { status, body } = reply;
+  return { status, body: typeof body === 'string' ? (JSON.parse(body) as unknown) : body };
+}
+
 export interface SimJob {
   team: string;
   cpus: number;
@@ -158,6 +164,8 @@
         command: (address, token, session, commands) =>
           guard(this.direct(name, address, token, session, commands)),
       },
+      peersThere: () =>
+        [...this.nodes.keys()].filter((peer) => peer !== name && !this.cut(name, peer)),
       tellPeer: (peer, message) => {
         const other = this.nodes.get(peer);
         if (!other || this.cut(name, peer)) return false;
@@ -299,19 +307,21 @@
     };
     const node = this.nodes.get(at)?.node;
     if (!node) return Promise.resolve({ status: 0, body: null });
-    return node.front.submit(JSON.stringify(body));
+    return node.serve('submit', '', JSON.stringify(body));
   }
 
   async cancel(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
-    const reply = await this.nodes.get(at)?.node.front.cancel(id);
+    const reply = await this.nodes.get(at)?.node.serve('cancel', id, null);
     const job = this.jobs.get(id);
     if (reply?.status === 200 && job) job.cancelledAt ??= this.clock.now();
-    return reply ?? { status: 0, body: null };
+    return unwrap(reply ?? { status: 0, body: null });
   }
 
   poll(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
     const node = this.nodes.get(at)?.node;
-    return node ? node.front.poll(id) : Promise.resolve({ status: 0, body: null });
+    return node
+      ? node.serve('poll', id, null).then(unwrap)
+      : Promise.resolve({ status: 0, body: null });
   }
 
   // --- The judge -----------------------------------------------------------------------------
