--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -439,10 +439,17 @@
       room.count += count;
       rooms.set(key, room);
     };
-    for (const machine of machines.values()) {
-      if (machine.health !== 'ok' || !mayUse(spec, machine)) continue;
-      const count = howMany(machine, spec);
-      if (count > 0) note(machine, count);
+    // Room beside other tasks first: machines that nothing needs then fall idle and are returned.
+    let beside = 0;
+    for (const busy of [true, false]) {
+      if (!busy && beside >= allowed) break;
+      for (const machine of machines.values()) {
+        if (machine.health !== 'ok' || machine.tasks > 0 !== busy) continue;
+        if (!mayUse(spec, machine)) continue;
+        const count = howMany(machine, spec);
+        if (count > 0) note(machine, count);
+        if (busy) beside += count;
+      }
     }
     if (rooms.size === 0 && rankOf(spec.priority) >= rankOf('high')) {
       // No free room: the part may stop lower work for it.
@@ -490,7 +497,8 @@
     machines: Map<string, Slotted>,
   ): void {
     let left = count;
-    for (const machine of machines.values()) {
+    const order = [...machines.values()].sort((a, b) => Number(b.tasks > 0) - Number(a.tasks > 0));
+    for (const machine of order) {
       if (left === 0) return;
       if (machine.part !== room.part || machine.zone !== room.zone) continue;
       if (machine.health !== 'ok' || !mayUse(spec, machine)) continue;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -111,6 +111,13 @@
   memoryGb: number;
 }
 
+/** A machine that may take tasks, the room left on it, and whether it holds none. */
+interface Place {
+  machine: Machine;
+  room: Room;
+  empty: boolean;
+}
+
 export interface PartOptions {
   part: string;
   number: number;
@@ -648,8 +655,8 @@
     return silentMs > this.options.reportS * 1000 * SILENT_REPORTS ? 'silent' : 'ok';
   }
 
-  private usableMachines(): { machine: Machine; room: Room }[] {
-    const rooms = new Map<string, { machine: Machine; room: Room }>();
+  private usableMachines(): Place[] {
+    const rooms = new Map<string, Place>();
     const order = [...this.machines.values()].sort(
       (a, b) => Number(a.spot) - Number(b.spot) || (a.name < b.name ? -1 : 1),
     );
@@ -657,10 +664,11 @@
       const { name } = machine;
       if (this.health(machine) !== 'ok') continue;
       if ((this.machineState(name) ?? 'rented') !== 'rented') continue;
-      rooms.set(name, { machine, room: this.capacity(machine.type) });
+      rooms.set(name, { machine, room: this.capacity(machine.type), empty: true });
     }
     for (const { chunk, slot } of this.live()) {
       const entry = rooms.get(slot.machine);
+      if (entry) entry.empty = false;
       if (entry && !slot.halting) take(entry.room, chunk.record);
     }
     return [...rooms.values()];
@@ -692,6 +700,7 @@
         this.choose(spec, chunk, machines, load) ?? this.preempt(spec, chunk, machines);
       if (!target) continue;
       take(target.room, chunk.record);
+      target.empty = false;
       load.set(target.machine.type, (load.get(target.machine.type) ?? 0) + 1);
       slot.state = 'live';
       slot.machine = target.machine.name;
@@ -737,9 +746,9 @@
   private choose(
     spec: JobSpec,
     chunk: Chunk,
-    machines: { machine: Machine; room: Room }[],
+    machines: Place[],
     load: Map<string, number>,
-  ): { machine: Machine; room: Room } | null {
+  ): Place | null {
     const free = machines.filter(
       ({ machine, room }) => fits(room, chunk.record) && this.allows(spec, chunk, machine),
     );
@@ -770,6 +779,8 @@
     // are: what runs for long stays together, and the machines between the two fall idle.
     const ofType = open.filter(({ machine }) => machine.type === best);
     if (spec.kind === 'array') ofType.reverse();
+    // An empty machine comes last: it may soon be returned.
+    ofType.sort((a, b) => Number(a.empty) - Number(b.empty));
     return ofType.find(({ machine }) => machine.images.has(spec.image)) ?? ofType[0] ?? null;
   }
 
@@ -781,13 +792,9 @@
   }
 
   /** Room made by stopping work of lower priority; the newest of the lowest goes first. */
-  private preempt(
-    spec: JobSpec,
-    chunk: Chunk,
-    machines: { machine: Machine; room: Room }[],
-  ): { machine: Machine; room: Room } | null {
+  private preempt(spec: JobSpec, chunk: Chunk, machines: Place[]): Place | null {
     const rank = rankOf(spec.priority);
-    let best: { entry: { machine: Machine; room: Room }; victims: Slot[] } | null = null;
+    let best: { entry: Place; victims: Slot[] } | null = null;
     for (const entry of machines) {
       if (!this.allows(spec, chunk, entry.machine)) continue;
       const lower = [...this.live()]
