Cheap idle machines are kept longer than dear ones

Cause: spot machines at a quarter of the price went back after the same 20 s, and dear ordinary ones were rented for them.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -140,3 +140,5 @@
 export const PREEMPTIBLE_SHARE = 0.5;
 /** ms; failures only count as being cut off after this long without a success. */
 export const REACH_DOUBT_MS = 700;
+/** Times the idle time for which the cheapest room is kept at the most. */
+export const IDLE_KEEP_MOST = 4;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -3,6 +3,7 @@
   CLOUD_SHARE,
   ESTIMATE_MARGIN,
   GONE_KEEP_MS,
+  IDLE_KEEP_MOST,
   NO_CAPACITY_PAUSE_MS,
   PREEMPTIBLE_SHARE,
   RENT_MAX,
@@ -217,6 +218,7 @@
     const drain: Slotted[] = [];
     // The dearest room goes first.
     const sorted = [...picture.machines].sort((a, b) => this.cpuPrice(b) - this.cpuPrice(a));
+    const dearest = sorted[0] ? this.cpuPrice(sorted[0]) : 0;
     for (const machine of sorted) {
       if (machine.health === 'faulty') drain.push(machine);
       if (machine.health !== 'ok' || machine.tasks > 0 || picture.unmet.length > 0) {
@@ -225,7 +227,9 @@
       }
       const since = this.idleSince.get(machine.name) ?? now;
       this.idleSince.set(machine.name, since);
-      if (now - since < this.options.idleMs) continue;
+      // Cheap room is kept longer: what would be rented in its place is dearer.
+      const keep = Math.min(IDLE_KEEP_MOST, dearest / Math.max(1e-9, this.cpuPrice(machine)));
+      if (now - since < this.options.idleMs * keep) continue;
       const loss = machine.spot ? 0 : Math.max(0, machine.cpus);
       if (headroom - loss < this.options.headroomCpus && loss > 0) continue;
       headroom -= loss;
