--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -760,12 +760,24 @@
         ? []
         : free.filter(({ machine }) => this.fetchS(machine, spec) <= within * FETCH_SHARE);
     const open = quick.length > 0 ? quick : free;
-    const least = Math.min(...open.map(({ machine }) => this.pricePerS(machine, chunk.record)));
-    const cheapest = open.filter(({ machine }) => this.pricePerS(machine, chunk.record) <= least);
-    void load;
+    const types = [...new Set(open.map(({ machine }) => machine.type))];
+    let best = types[0] ?? '';
+    if (types.length > 1) {
+      let bestScore = -Infinity;
+      for (const type of types) {
+        const score = this.bandit.score(
+          type,
+          this.bandit.context(this.taskClass(spec), type, load),
+        );
+        if (score > bestScore) {
+          bestScore = score;
+          best = type;
+        }
+      }
+    }
     // Services fill the fixed order from its start, arrays from its end, where the spot machines
     // are: what runs for long stays together, and the machines between the two fall idle.
-    const ofType = cheapest;
+    const ofType = open.filter(({ machine }) => machine.type === best);
     if (spec.kind === 'array') ofType.reverse();
     // An empty machine comes last: it may soon be returned.
     ofType.sort((a, b) => Number(a.empty) - Number(b.empty));
