--- a/src/constants.ts
+++ b/src/constants.ts
@@ -142,3 +142,5 @@
 export const REACH_DOUBT_MS = 700;
 /** Times the idle time for which the cheapest room is kept at the most. */
 export const IDLE_KEEP_MOST = 4;
+/** Urgent jobs of the usual size for which lower work of the same team leaves room in its limit. */
+export const URGENT_RESERVE = 2;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,4 +1,4 @@
-import { CHUNK_TASK_BYTES, GUARDS_PER_OP } from '../constants.js';
+import { CHUNK_TASK_BYTES, GUARDS_PER_OP, URGENT_RESERVE } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import {
   CATALOG,
@@ -266,6 +266,7 @@
     const used = new Map<string, Usage>();
     const open = this.openJobs(used, machines);
     const unmet: Unmet[] = [];
+    const reserved = this.reserves();
     const changes: { key: string; value: ChunkRecord }[] = [];
     for (const job of open) {
       if (job.unassigned === 0) continue;
@@ -275,6 +276,10 @@
       const room = { cpus: 0, gpus: 0, memoryGb: 0 };
       room.cpus = (team?.cpusMax ?? 0) - use.cpus;
       room.gpus = (team?.gpusMax ?? 0) - use.gpus;
+      // Lower work leaves some of its team's limit to urgent work: nothing else makes room there.
+      if (rankOf(job.spec.priority) < rankOf('high')) {
+        room.cpus -= reserved.get(job.spec.team) ?? 0;
+      }
       const allowed = Math.min(
         job.unassigned,
         howMany(room, { ...need(job.spec, 1), memoryGb: 0 }),
@@ -304,6 +309,18 @@
     return changes.length > 0;
   }
 
+  /** CPUs of each team's limit that its urgent work may want at any moment. */
+  private reserves(): Map<string, number> {
+    const reserves = new Map<string, number>();
+    for (const [, held] of this.view.below<JobRecord>(JOBS)) {
+      const { spec } = held.value;
+      if (rankOf(spec.priority) < rankOf('high')) continue;
+      const cpus = spec.cpus * (spec.kind === 'service' ? spec.tasks : 1) * URGENT_RESERVE;
+      reserves.set(spec.team, Math.max(reserves.get(spec.team) ?? 0, cpus));
+    }
+    return reserves;
+  }
+
   /** Jobs in the order of their turn, and what each team uses; takes room for what is assigned. */
   private openJobs(used: Map<string, Usage>, machines: Map<string, Slotted>): Open[] {
     for (const chunk of this.view.chunks().values()) {
