--- a/src/constants.ts
+++ b/src/constants.ts
@@ -33,9 +33,9 @@
 /** ms; cloud requests carry no one who waits, so they may take longer. */
 export const CLOUD_TIMEOUT_MS = 8_000;
 /** ms; life of a member's lease: long enough for a slow process, short enough to take over soon. */
-export const MEMBER_TTL_MS = 6_000;
+export const MEMBER_TTL_MS = 3_500;
 /** ms; renewals are sent this often, so three may fail before the lease ends. */
-export const MEMBER_RENEW_MS = 1_500;
+export const MEMBER_RENEW_MS = 900;
 /** ms; a watch returns after this without a change, which confirms that the view is current. */
 export const WATCH_HOLD_MS = 1_000;
 /** ms; least time between two watch requests: changes close together share one answer. */
@@ -50,7 +50,7 @@
 /** s; what must remain between the end of the last possible lease and `cancel_s`. */
 export const CANCEL_MARGIN_S = 5;
 /** ms; pace of the roles' loops when nothing woke them. */
-export const LOOP_MS = 500;
+export const LOOP_MS = 300;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
 export const LOOP_GATHER_MS = 20;
 /** ms; submissions that come within this time share a transaction. */
