--- a/src/constants.ts
+++ b/src/constants.ts
@@ -32,10 +32,11 @@
 export const STATE_TIMEOUT_MS = 2_000;
 /** ms; cloud requests carry no one who waits, so they may take longer. */
 export const CLOUD_TIMEOUT_MS = 8_000;
-/** ms; life of a member's lease: long enough for a slow process, short enough to take over soon. */
-export const MEMBER_TTL_MS = 3_500;
+/** ms; life of a member's lease: a node that is killed is mostly back before it ends, and takes its
+ * own part again; with 3.5 s every restart moved its part away and back. */
+export const MEMBER_TTL_MS = 6_000;
 /** ms; renewals are sent this often, so three may fail before the lease ends. */
-export const MEMBER_RENEW_MS = 900;
+export const MEMBER_RENEW_MS = 1_500;
 /** ms; a watch returns after this without a change, which confirms that the view is current. */
 export const WATCH_HOLD_MS = 1_000;
 /** ms; least time between two watch requests: changes close together share one answer. */
@@ -144,3 +145,9 @@
 export const IDLE_KEEP_MOST = 4;
 /** Urgent jobs of the usual size for which lower work of the same team leaves room in its limit. */
 export const URGENT_RESERVE = 2;
+/** s; time constant of the mean use by lower work, the floor for what the fleet must hold. */
+export const USE_MEAN_S = 60;
+/** Room that must remain above what is needed when machines in use are taken out. */
+export const SURPLUS_MARGIN = 1.1;
+/** ms; a surplus must last so long: jobs come in bursts. */
+export const SURPLUS_MS = 10_000;
