--- a/src/constants.ts
+++ b/src/constants.ts
@@ -145,9 +145,3 @@
 export const IDLE_KEEP_MOST = 4;
 /** Urgent jobs of the usual size for which lower work of the same team leaves room in its limit. */
 export const URGENT_RESERVE = 2;
-/** s; time constant of the mean use by lower work, the floor for what the fleet must hold. */
-export const USE_MEAN_S = 60;
-/** Room that must remain above what is needed when machines in use are taken out. */
-export const SURPLUS_MARGIN = 1.1;
-/** ms; a surplus must last so long: jobs come in bursts. */
-export const SURPLUS_MS = 10_000;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -13,9 +13,6 @@
   SILENT_RETURN_PERIOD_MS,
   STUCK_BOOTS,
   STUCK_LEAST_MS,
-  SURPLUS_MARGIN,
-  SURPLUS_MS,
-  USE_MEAN_S,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import { CATALOG, MACHINES, machineKey } from '../bookkeeping/keys.js';
@@ -65,9 +62,6 @@
   private silentReturns: number[] = [];
   private readonly failed = new Set<string>();
   private requests = 0;
-  private meanLow = 0;
-  private meanAt: number;
-  private surplusSince: number | null = null;
   private busy = false;
   private listedAt = -Infinity;
   private catalogAt = -Infinity;
@@ -81,7 +75,6 @@
     private readonly log: Log,
   ) {
     const rate = options.cloudRps * CLOUD_SHARE;
-    this.meanAt = clock.now();
     this.budget = new Budget(clock, rate, Math.max(1, rate));
   }
 
@@ -242,68 +235,12 @@
       headroom -= loss;
       drain.push(machine);
     }
-    const surplus = this.surplus(picture, drain);
-    if (surplus) drain.push(surplus);
     if (drain.length === 0) return;
     if (await this.mark(drain, 'drain')) {
       this.log.info({ machines: drain.map((one) => one.name) }, 'machines taken out of use');
     }
   }
 
-  /**
-   * The dearest machine in use that the rest of the fleet can do without, once that has been so for
-   * a while. Its tasks end by themselves; without this, load that ebbs stays spread over machines
-   * of which none falls idle.
-   */
-  private surplus(picture: Picture, leaving: Slotted[]): Slotted | null {
-    const now = this.clock.now();
-    const types = new Map(
-      (this.view.get<MachineType[]>(CATALOG)?.value ?? []).map((type) => [type.name, type.cpus]),
-    );
-    let total = 0;
-    let low = 0;
-    let high = 0;
-    for (const one of picture.machines) {
-      if (one.health !== 'ok' || leaving.includes(one)) continue;
-      const cpus = types.get(one.type) ?? 0;
-      total += cpus;
-      low += one.lowCpus;
-      high += cpus - one.cpus - one.lowCpus;
-    }
-    const weight = Math.min(1, (now - this.meanAt) / 1000 / USE_MEAN_S);
-    this.meanLow += (low - this.meanLow) * weight;
-    this.meanAt = now;
-    const needed =
-      (Math.max(this.meanLow, this.pressing(picture, low)) + high) * SURPLUS_MARGIN +
-      this.options.headroomCpus;
-    const candidate = picture.machines
-      .filter((one) => one.health === 'ok' && !leaving.includes(one))
-      .filter((one) => (types.get(one.type) ?? 0) - one.cpus - one.lowCpus < 1e-6)
-      .filter((one) => total - (types.get(one.type) ?? 0) >= needed)
-      .sort((a, b) => this.cpuPrice(b) - this.cpuPrice(a) || b.cpus - a.cpus)[0];
-    if (!candidate) {
-      this.surplusSince = null;
-      return null;
-    }
-    this.surplusSince ??= now;
-    if (now - this.surplusSince < SURPLUS_MS) return null;
-    return candidate;
-  }
-
-  /** CPUs that keep every waiting job's deadline: the steepest of work over time left. */
-  private pressing(picture: Picture, low: number): number {
-    const wall = this.clock.wall();
-    let work = low * RUNNING_LEFT_S;
-    let steepest = 0;
-    const due = (one: Unmet): number => one.at + (one.spec.deadlineS ?? 0) * 1000;
-    for (const one of [...picture.unmet].sort((a, b) => due(a) - due(b))) {
-      const runS = Math.max(1, one.spec.estimateS) * ESTIMATE_MARGIN;
-      work += one.count * one.spec.cpus * runS;
-      steepest = Math.max(steepest, work / Math.max(runS, (due(one) - wall) / 1000 - runS));
-    }
-    return steepest;
-  }
-
   private cpuPrice(machine: Slotted): number {
     const types = this.view.get<MachineType[]>(CATALOG)?.value ?? [];
     const type = types.find((one) => one.name === machine.type);
