--- a/src/constants.ts
+++ b/src/constants.ts
@@ -145,3 +145,9 @@
 export const IDLE_KEEP_MOST = 4;
 /** Urgent jobs of the usual size for which lower work of the same team leaves room in its limit. */
 export const URGENT_RESERVE = 2;
+/** ms; pace at which a part looks for a little-used machine whose services could move. */
+export const GATHER_MS = 15_000;
+/** ms; a replica younger than this stays: stopping it would undo its start. */
+export const GATHER_SETTLED_MS = 35_000;
+/** Share of its CPUs in use up to which a machine's services may be moved away. */
+export const GATHER_USE = 0.5;
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -7,6 +7,9 @@
   FAILURE_PAUSE_S,
   FAULTY_ERRORS,
   FETCH_SHARE,
+  GATHER_MS,
+  GATHER_SETTLED_MS,
+  GATHER_USE,
   LEASE_MARGIN_MS,
   RELEASE_MS,
   SILENT_REPORTS,
@@ -99,6 +102,8 @@
   /** The worker has shown our token, so answers of former owners no longer count. */
   ours: boolean;
   leaving: boolean;
+  /** Its services are being moved away: nothing is placed here for a while. */
+  closing: boolean;
   tasks: TaskReport[];
   images: Set<string>;
   /** Jobs that failed here since the last success. */
@@ -170,6 +175,7 @@
   private readonly statusSent = new Map<string, string>();
   private busy = false;
   private snapshotAt = 0;
+  private gatherAt = 0;
   private readonly baseToken: number;
 
   constructor(
@@ -221,6 +227,7 @@
       answeredAt: now,
       ours: false,
       leaving: false,
+      closing: false,
       tasks: [],
       images: new Set(),
       errors: new Set(),
@@ -561,6 +568,7 @@
       this.buryDead();
       this.windUp();
       this.place();
+      this.gather();
       this.release();
       await this.flush();
       this.sendDirect();
@@ -662,7 +670,7 @@
     );
     for (const machine of order) {
       const { name } = machine;
-      if (this.health(machine) !== 'ok') continue;
+      if (this.health(machine) !== 'ok' || machine.closing) continue;
       if ((this.machineState(name) ?? 'rented') !== 'rented') continue;
       rooms.set(name, { machine, room: this.capacity(machine.type), empty: true });
     }
@@ -698,7 +706,11 @@
     for (const { chunk, slot, spec } of waiting) {
       const target =
         this.choose(spec, chunk, machines, load) ?? this.preempt(spec, chunk, machines);
-      if (!target) continue;
+      if (!target) {
+        // Room is short: a machine that was being emptied is needed after all.
+        for (const machine of this.machines.values()) machine.closing = false;
+        continue;
+      }
       take(target.room, chunk.record);
       target.empty = false;
       load.set(target.machine.type, (load.get(target.machine.type) ?? 0) + 1);
@@ -837,6 +849,58 @@
     return entry;
   }
 
+  /**
+   * Moves the services of one little-used machine to others that have room and their images, so
+   * that it falls idle and is returned. A replica is away for well under a second; one that started
+   * a moment ago stays, and nothing moves while tasks wait.
+   */
+  private gather(): void {
+    const now = this.clock.now();
+    const pending = [...this.chunks.values()].some((chunk) =>
+      [...chunk.slots.values()].some((slot) => slot.state === 'pending'),
+    );
+    if (pending || now < this.gatherAt) return;
+    this.gatherAt = now + GATHER_MS;
+    for (const machine of this.machines.values()) machine.closing = false;
+    const places = this.usableMachines().filter((place) => !place.empty && place.machine.ours);
+    const byUse = places.sort((a, b) => this.use(a) - this.use(b));
+    for (const place of byUse) {
+      if (this.use(place) > GATHER_USE) return;
+      const tasks = [...this.live()].filter(({ slot }) => slot.machine === place.machine.name);
+      const movable = tasks.every(({ chunk, slot }) => {
+        const settled = slot.runningAt !== null && now - slot.runningAt > GATHER_SETTLED_MS;
+        return this.spec(chunk.job)?.kind === 'service' && settled && !slot.halting;
+      });
+      if (!movable) continue;
+      const rooms = places
+        .filter((other) => other !== place && this.use(other) >= this.use(place))
+        .map((other) => ({ ...other, room: { ...other.room } }));
+      const fit = tasks.every(({ chunk }) => {
+        const spec = this.spec(chunk.job);
+        const target = rooms.find(
+          ({ machine, room }) =>
+            spec !== null &&
+            fits(room, chunk.record) &&
+            this.allows(spec, chunk, machine) &&
+            machine.images.has(spec.image),
+        );
+        if (target) take(target.room, chunk.record);
+        return target !== undefined;
+      });
+      if (!fit) continue;
+      place.machine.closing = true;
+      for (const { slot } of tasks) slot.halting = true;
+      this.log.info({ machine: place.machine.name, tasks: tasks.length }, 'moving services away');
+      return;
+    }
+  }
+
+  /** Share of a machine's CPUs in use. */
+  private use(place: Place): number {
+    const { cpus } = this.capacity(place.machine.type);
+    return cpus > 0 ? 1 - place.room.cpus / cpus : 1;
+  }
+
   /** Gives tasks back to the leader that found no room here for a while. */
   private release(): void {
     const now = this.clock.now();
