--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -163,6 +163,58 @@
   }
 }
 
+test('a cancellation that is not committed is not confirmed, and holds once it is', async () => {
+  const world = new World(7);
+  world.addMachine('small', 'a', false, 500);
+  await world.run(6);
+  await settled(world, world.submit('j-000001', { tasks: 1, runS: 200 }));
+  world.state.outage = true;
+  assert.equal((await settled(world, world.cancel('j-000001'))).status, 503);
+  world.state.endOutage();
+  await world.run(5);
+  assert.equal(stage(await settled(world, world.cancel('j-000001', 'n1'))), 'withdrawn');
+  for (const [node] of world.members) {
+    assert.equal(stage(await settled(world, world.poll('j-000001', node))), 'withdrawn');
+    assert.equal((await settled(world, world.poll('j-000002', node))).status, 404);
+    const again = await settled(world, world.submit('j-000001', { tasks: 0 }, node));
+    assert.deepEqual([again.status, stage(again)], [200, 'withdrawn']);
+  }
+});
+
+test('an owner that hears nothing new stops answering before a cancellation is due', async () => {
+  const world = new World(8, [
+    ['n0', 'a'],
+    ['n1', 'b'],
+  ]);
+  const machine = world.addMachine('small', 'a', false, 500);
+  await world.run(8);
+  await settled(world, world.submit('j-000001', { tasks: 1, service: true, spot: false }, 'n1'));
+  await world.run(10);
+  assert.equal(world.starts.length, 1);
+  // Only its owner reaches the machine, and the owner reaches nothing else.
+  world.cuts.add(`n1>${machine}`);
+  world.cuts.add('n0>n1');
+  world.state.refused.add('n0');
+  assert.equal(stage(await settled(world, world.cancel('j-000001', 'n1'))), 'withdrawn');
+  await world.run(70);
+  assert.deepEqual(world.broken, []);
+});
+
+test('a job is done only when its last task is', async () => {
+  const world = new World(9);
+  world.addMachine('small', 'a', false, 500);
+  await world.run(6);
+  await settled(world, world.submit('j-000001', { tasks: 6, cpus: 2, runS: 20, team: 'blue' }));
+  for (let turn = 0; turn < 120; turn++) {
+    await world.run(1);
+    const poll = await settled(world, world.poll('j-000001', 'n1'));
+    if (stage(poll) !== 'done') continue;
+    assert.equal(world.completed.size, 6);
+    return;
+  }
+  assert.fail('never done');
+});
+
 /** Lets simulated time run until a request is answered. */
 async function settled<T>(world: World, request: Promise<T>): Promise<T> {
   let done = false;
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -176,6 +176,7 @@
       this.world.clock.after(job.runS * 1000, () => {
         if (this.tasks.get(command.larva) === task && task.state === 'running') {
           this.end(task, 'done');
+          this.world.completed.add(command.larva);
         }
       });
     });
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -103,6 +103,7 @@
   readonly workers = new Map<string, SimWorker>();
   readonly jobs = new Map<string, SimJob>();
   readonly broken: string[] = [];
+  readonly completed = new Set<string>();
   readonly starts: { task: string; machine: string; at: number }[] = [];
   /** Pairs "x>y" that can't reach each other; x and y are node or machine names. */
   readonly cuts = new Set<string>();
