--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -191,10 +191,12 @@
   await settled(world, world.submit('j-000001', { tasks: 1, service: true, spot: false }, 'n1'));
   await world.run(10);
   assert.equal(world.starts.length, 1);
+  assert.equal(world.starts[0]?.machine, machine);
   // Only its owner reaches the machine, and the owner reaches nothing else.
   world.cuts.add(`n1>${machine}`);
   world.cuts.add('n0>n1');
   world.state.refused.add('n0');
+  world.cloudTrouble = true;
   assert.equal(stage(await settled(world, world.cancel('j-000001', 'n1'))), 'withdrawn');
   await world.run(70);
   assert.deepEqual(world.broken, []);
@@ -204,7 +206,7 @@
   const world = new World(9);
   world.addMachine('small', 'a', false, 500);
   await world.run(6);
-  await settled(world, world.submit('j-000001', { tasks: 6, cpus: 2, runS: 20, team: 'blue' }));
+  await settled(world, world.submit('j-000001', { tasks: 6, cpus: 4, runS: 20, team: 'blue' }));
   for (let turn = 0; turn < 120; turn++) {
     await world.run(1);
     const poll = await settled(world, world.poll('j-000001', 'n1'));
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -109,6 +109,8 @@
   readonly cuts = new Set<string>();
   /** Zone and kind of what the cloud still has; 0 refuses. */
   capacity = 20;
+  /** The cloud takes nothing back. */
+  cloudTrouble = false;
   private readonly rented = new Map<string, ListedMachine>();
   private readonly requests = new Map<string, string[]>();
   private machineCount = 0;
@@ -240,6 +242,7 @@
         return Promise.resolve({ kind: 'rented', machines });
       },
       giveBack: (machines) => {
+        if (this.cloudTrouble) return Promise.resolve(false);
         for (const name of machines) this.removeMachine(name);
         return Promise.resolve(true);
       },
