--- a/src/constants.ts
+++ b/src/constants.ts
@@ -132,7 +132,7 @@
 /** ms; a direct call is given up after this and its commands are fenced: workers answer at once. */
 export const DIRECT_TIMEOUT_MS = 2_000;
 /** Owners' estimates are often wrong by half; renting counts on tasks this much longer. */
-export const ESTIMATE_MARGIN = 0.8;
+export const ESTIMATE_MARGIN = 1.25;
 /** s; what a running task is taken to have left when the fleet's future room is reckoned. */
 export const RUNNING_LEFT_S = 15;
 /** Share of a start aim that the fetch of an image may take; the rest is for deciding and sending. */
