--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -65,7 +65,7 @@
   ),
   fleet: v.optional(
     v.object({
-      idle_s: v.optional(amount, 35),
+      idle_s: v.optional(amount, 12),
       headroom_cpus: v.optional(amount, 4),
       spot: v.optional(v.boolean(), true),
       max_machines: v.optional(positive, 1000),
