--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -66,7 +66,7 @@
   fleet: v.optional(
     v.object({
       idle_s: v.optional(amount, 12),
-      headroom_cpus: v.optional(amount, 4),
+      headroom_cpus: v.optional(amount, 6),
       spot: v.optional(v.boolean(), true),
       max_machines: v.optional(positive, 1000),
     }),
