--- a/src/bookkeeping/committer.ts
+++ b/src/bookkeeping/committer.ts
@@ -1,6 +1,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { BACKOFF_FIRST_MS, BACKOFF_LAST_MS } from '../constants.js';
 import { Refused, type Change, type Guard, type StateApi } from '../protocol/state-api.js';
+import { Backoff } from '../transport/backoff.js';
 import { sleep, type Clock } from '../transport/clock.js';
 import type { Gate, Purpose } from './gate.js';
 import type { Log } from './log.js';
@@ -25,6 +26,7 @@
     private readonly view: View,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly random: () => number,
   ) {}
 
   /** `wanted` is asked before each try; when it says no, the transaction is given up. */
@@ -35,7 +37,7 @@
     wanted: () => boolean,
   ): Promise<CommitResult> {
     let unsure = false;
-    let pause = BACKOFF_FIRST_MS;
+    const backoff = new Backoff(BACKOFF_FIRST_MS, BACKOFF_LAST_MS, this.random);
     for (;;) {
       await this.gate.pass(purpose, changes.length);
       if (!wanted()) return { kind: 'givenUp', unsure };
@@ -60,8 +62,7 @@
           unsure = true;
         }
         this.log.debug({ error: String(error), purpose }, 'transaction failed, trying again');
-        await sleep(this.clock, pause);
-        pause = Math.min(pause * 2, BACKOFF_LAST_MS);
+        await sleep(this.clock, backoff.next());
       }
     }
   }
--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -6,6 +6,7 @@
   WATCH_SPACING_MS,
 } from '../constants.js';
 import type { StateApi } from '../protocol/state-api.js';
+import { Backoff } from '../transport/backoff.js';
 import { sleep, type Clock } from '../transport/clock.js';
 import { CHUNKS, FINALS, LIVE, ROOT, readChunkKey } from './keys.js';
 import type { Gate } from './gate.js';
@@ -41,6 +42,7 @@
     private readonly gate: Gate,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly random: () => number,
   ) {}
 
   onChange(listener: (keys: string[]) => void): void {
@@ -168,7 +170,7 @@
 
   /** Follows the changes until stopped; failures are waited out. */
   async follow(): Promise<void> {
-    let pause = BACKOFF_FIRST_MS;
+    const backoff = new Backoff(BACKOFF_FIRST_MS, BACKOFF_LAST_MS, this.random);
     while (!this.stopped) {
       try {
         if (!this.loaded) await this.load();
@@ -183,7 +185,7 @@
         }
         this.take(result.events, result.revision);
         this.freshAt = Math.max(this.freshAt, sentAt);
-        pause = BACKOFF_FIRST_MS;
+        backoff.reset();
         await new Promise<void>((resolve) => {
           const cancel = this.clock.after(WATCH_SPACING_MS, resolve);
           this.wake = () => {
@@ -193,9 +195,8 @@
         });
         this.wake = null;
       } catch (error) {
-        this.log.debug({ error: String(error), pause }, 'watch failed');
-        await sleep(this.clock, pause);
-        pause = Math.min(pause * 2, BACKOFF_LAST_MS);
+        this.log.debug({ error: String(error) }, 'watch failed');
+        await sleep(this.clock, backoff.next());
       }
     }
   }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -44,6 +44,9 @@
 /** ms; first and longest pause after a failed request; the pause doubles in between. */
 export const BACKOFF_FIRST_MS = 100;
 export const BACKOFF_LAST_MS = 2_000;
+/** ms; the same for the cloud, whose requests nobody waits for. */
+export const CLOUD_BACKOFF_FIRST_MS = 500;
+export const CLOUD_BACKOFF_LAST_MS = 8_000;
 /** ms; a node leaves a role to its home member this long after the member came up. */
 export const HOME_SETTLE_MS = 500;
 /** ms; safety on top of computed lease ends: timers fire late and answers take time. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -1,5 +1,7 @@
 import {
   CATALOG_PERIOD_MS,
+  CLOUD_BACKOFF_FIRST_MS,
+  CLOUD_BACKOFF_LAST_MS,
   CLOUD_SHARE,
   ESTIMATE_MARGIN,
   GONE_KEEP_MS,
@@ -22,6 +24,7 @@
 import type { CloudApi } from '../protocol/cloud-api.js';
 import type { Change, Guard } from '../protocol/state-api.js';
 import { rankOf, type JobSpec, type ListedMachine, type MachineType } from '../protocol/terms.js';
+import { Backoff } from '../transport/backoff.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
 import { howMany, mayUse, type Picture, type Slotted, type Unmet } from './leader.js';
@@ -56,6 +59,8 @@
 /** The leader's hand on the cloud: which machines to rent, to take out of use and to return. */
 export class Fleet {
   private readonly budget: Budget;
+  private readonly backoff: Backoff;
+  private pausedUntil = -Infinity;
   private readonly noCapacity = new Map<string, number>();
   private readonly idleSince = new Map<string, number>();
   private readonly silent = new Set<string>();
@@ -73,13 +78,15 @@
     private readonly cloud: CloudApi,
     private readonly clock: Clock,
     private readonly log: Log,
+    random: () => number,
   ) {
+    this.backoff = new Backoff(CLOUD_BACKOFF_FIRST_MS, CLOUD_BACKOFF_LAST_MS, random);
     const rate = options.cloudRps * CLOUD_SHARE;
     this.budget = new Budget(clock, rate, Math.max(1, rate));
   }
 
   async round(picture: Picture): Promise<void> {
-    if (this.busy) return;
+    if (this.busy || this.clock.now() < this.pausedUntil) return;
     this.busy = true;
     try {
       await this.refreshCatalog();
@@ -87,7 +94,9 @@
       await this.returnMachines(picture);
       await this.rent(picture);
       await this.list();
+      this.backoff.reset();
     } catch (error) {
+      this.pausedUntil = this.clock.now() + this.backoff.next();
       this.log.info({ error: String(error) }, 'cloud did not answer');
     } finally {
       this.busy = false;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -30,6 +30,7 @@
 import type { WorkerReport } from '../protocol/terms.js';
 import { parseJson } from '../protocol/user-codec.js';
 import { encodeRedirect, encodeReportAnswer, parseReport } from '../protocol/worker-codec.js';
+import { randomOf } from '../transport/backoff.js';
 import { systemClock, type Clock } from '../transport/clock.js';
 import { HttpWorkerApi, type WorkerApi } from '../protocol/worker-api.js';
 import { HttpClient } from '../transport/http-client.js';
@@ -40,7 +41,7 @@
 import { Leader } from './leader.js';
 import { Part } from './part.js';
 import { LEADER, Roles, partRole } from './roles.js';
-import { partOf, type Member } from './rendezvous.js';
+import { hash, partOf, type Member } from './rendezvous.js';
 
 /** The outside as the node needs it; tests give stand-ins. */
 export interface Outside {
@@ -72,6 +73,8 @@
   private readonly partTerms = new Map<string, number>();
   private readonly committer: Committer;
   private readonly reach: Reach;
+  private readonly random: () => number;
+  private metrics: (() => Promise<string>) | null = null;
   private readonly members: Member[];
   private readonly redirected = new Map<string, number>();
   private readonly relays = new Map<number, (reply: HttpReply) => void>();
@@ -89,8 +92,9 @@
     this.reach = new Reach(clock);
     const state = this.reach.watch(outside.state);
     const gate = new Gate(clock, settings.stateRps, settings.stateWriteRps, settings.txnOps);
-    this.view = new View(state, gate, clock, log);
-    this.committer = new Committer(state, gate, this.view, clock, log);
+    this.random = randomOf(hash(incarnation));
+    this.view = new View(state, gate, clock, log, this.random);
+    this.committer = new Committer(state, gate, this.view, clock, log, this.random);
     const self = { node: settings.node, zone: settings.zone };
     this.members = [self, ...settings.peers].sort((a, b) => (a.node < b.node ? -1 : 1));
     this.roles = new Roles(
@@ -140,6 +144,19 @@
     return this.front.ready || this.outside.peersThere().length > 0;
   }
 
+  viewAgeMs(): number {
+    return this.outside.clock.now() - this.view.freshAt;
+  }
+
+  /** The node's figures; their library is loaded only when somebody asks. */
+  async figures(): Promise<HttpReply> {
+    if (!this.metrics) {
+      const { metricsOf } = await import('./metrics.js');
+      this.metrics = metricsOf(this);
+    }
+    return { status: 200, body: await this.metrics(), type: 'text/plain; version=0.0.4' };
+  }
+
   /** Serves a user; a node that does not reach the state service asks a peer that may. */
   async serve(ask: UserAsk, about: string, text: string | null): Promise<HttpReply> {
     if (!this.front.ready || !this.reach.there) {
@@ -302,6 +319,7 @@
         outside.cloud,
         outside.clock,
         log,
+        this.random,
       );
       log.info({ term: lead.term }, 'leading');
     }
@@ -479,6 +497,7 @@
         path: '/v2/runs/:id/cancel',
         handle: ({ id }) => node.serve('cancel', id, null),
       },
+      { method: 'GET', path: '/metrics', handle: () => node.figures() },
       {
         method: 'GET',
         path: '/ready',
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -334,6 +334,19 @@
     chunk.dirty = true;
   }
 
+  /** What is on hand, for whoever watches the program. */
+  counts(): { machines: number; placed: number; waiting: number } {
+    let placed = 0;
+    let waiting = 0;
+    for (const chunk of this.chunks.values()) {
+      for (const slot of chunk.slots.values()) {
+        if (slot.state === 'live') placed++;
+        else if (slot.state === 'pending') waiting++;
+      }
+    }
+    return { machines: this.machines.size, placed, waiting };
+  }
+
   // --- Reports -------------------------------------------------------------------------------
 
   handleReport(report: WorkerReport): ReportAnswer {
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -6,6 +6,8 @@
   status: number;
   body: unknown;
   retryAfterS?: number;
+  /** Content type of a body that is not JSON. */
+  type?: string;
 }
 
 export interface HttpRequest {
@@ -49,7 +51,7 @@
         if (text !== null && Buffer.byteLength(text) > limits.bodyBytes) text = null;
       }
       const reply = await route.handle({ id: context.req.param('id') ?? '', text });
-      const headers: Record<string, string> = { 'content-type': 'application/json' };
+      const headers: Record<string, string> = { 'content-type': reply.type ?? 'application/json' };
       if (reply.retryAfterS !== undefined) headers['retry-after'] = String(reply.retryAfterS);
       const body = typeof reply.body === 'string' ? reply.body : JSON.stringify(reply.body);
       return new Response(body, { status: reply.status, headers });
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -62,7 +62,7 @@
   ]);
   const api = state.api('p');
   const gate = new Gate(clock, 100, 100, 8);
-  const view = new View(api, gate, clock, silent);
+  const view = new View(api, gate, clock, silent, () => 0.5);
   void view.follow();
   await clock.run(500);
   const sent: { commands: Command[]; fail: () => void; done: (report: WorkerReport) => void }[] =
@@ -86,7 +86,7 @@
       alive: () => true,
     },
     view,
-    new Committer(api, gate, view, clock, silent),
+    new Committer(api, gate, view, clock, silent, () => 0.5),
     {
       command: (_address, _token, _session, commands) =>
         new Promise((resolve, reject) => {
@@ -240,6 +240,38 @@
   assert.deepEqual(world.stored()?.live, {});
 });
 
+test('services of a little-used machine move to another that has room and their image', async () => {
+  const world = await lone({ placed: true, spec: { kind: 'service' } });
+  const job: JobRecord = { spec: { ...SPEC, id: 'j-000002', kind: 'service' }, at: 0 };
+  const chunk = { ...world.stored(), ids: '0-2', live: { '0': ['m-2', 7], '1': ['m-2', 8] } };
+  world.state.change([
+    { key: jobKey('j-000002'), value: job },
+    { key: chunkKey('p', 'j-000002', 2), value: { ...chunk, ids: '0-1' } },
+  ]);
+  await world.clock.run(world.clock.now() + 300);
+  const other = [0, 1].map((index) => ({
+    task: { job: 'j-000002', index },
+    attempt: 7 + index,
+    state: 'running' as const,
+    cause: null,
+  }));
+  const both = (): Command[] => {
+    world.report({ machine: 'm-2' }, other);
+    return world.report({}, [running(77)]);
+  };
+  both();
+  await world.clock.run(world.clock.now() + 2000);
+  await world.round();
+  assert.deepEqual(ops(both()), [], 'too young to move');
+  await world.clock.run(world.clock.now() + 40_000);
+  both();
+  await world.round();
+  assert.deepEqual(ops(both()), ['stop']);
+  world.report({}, [{ ...ended(77), cause: 'stopped' }]);
+  await world.round();
+  assert.equal(world.stored()?.live['0']?.[0], 'm-2');
+});
+
 test('tasks go only where their job allows', async () => {
   const cases: [string, Parameters<typeof lone>[0], Partial<WorkerReport>, boolean][] = [
     ['anywhere', {}, {}, true],
