--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -43,6 +43,7 @@
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly random: () => number,
+    private readonly holdMs: number = WATCH_HOLD_MS,
   ) {}
 
   onChange(listener: (keys: string[]) => void): void {
@@ -176,7 +177,7 @@
         if (!this.loaded) await this.load();
         await this.gate.pass('watch', 0);
         const sentAt = this.clock.now();
-        const result = await this.api.watch(ROOT, this.revision, WATCH_HOLD_MS);
+        const result = await this.api.watch(ROOT, this.revision, this.holdMs);
         if (this.stopped) return;
         if (result === null) {
           this.log.info({ since: this.revision }, 'changes no longer kept, reading all keys again');
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -53,6 +53,10 @@
 export const LEASE_MARGIN_MS = 1_000;
 /** s; what must remain between the end of the last possible lease and `cancel_s`. */
 export const CANCEL_MARGIN_S = 5;
+/** Share of the time between lease and `cancel_s` that this margin may take at the most. */
+export const CANCEL_MARGIN_SHARE = 0.4;
+/** Watches return within this share of the grace, so that a working owner always stays current. */
+export const WATCH_GRACE_SHARE = 0.25;
 /** ms; pace of the roles' loops when nothing woke them. */
 export const LOOP_MS = 300;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -16,6 +16,8 @@
   RETRY_AFTER_S,
   STATE_SOCKETS,
   STATE_TIMEOUT_MS,
+  WATCH_GRACE_SHARE,
+  WATCH_HOLD_MS,
 } from '../constants.js';
 import { Committer } from '../bookkeeping/committer.js';
 import { Gate } from '../bookkeeping/gate.js';
@@ -40,7 +42,7 @@
 import { Front } from './front.js';
 import { Leader } from './leader.js';
 import { Part } from './part.js';
-import { LEADER, Roles, partRole } from './roles.js';
+import { LEADER, Roles, graceMs, partRole } from './roles.js';
 import { hash, partOf, type Member } from './rendezvous.js';
 
 /** The outside as the node needs it; tests give stand-ins. */
@@ -93,7 +95,14 @@
     const state = this.reach.watch(outside.state);
     const gate = new Gate(clock, settings.stateRps, settings.stateWriteRps, settings.txnOps);
     this.random = randomOf(hash(incarnation));
-    this.view = new View(state, gate, clock, log, this.random);
+    this.view = new View(
+      state,
+      gate,
+      clock,
+      log,
+      this.random,
+      Math.floor(Math.min(WATCH_HOLD_MS, graceMs(settings) * WATCH_GRACE_SHARE)),
+    );
     this.committer = new Committer(state, gate, this.view, clock, log, this.random);
     const self = { node: settings.node, zone: settings.zone };
     this.members = [self, ...settings.peers].sort((a, b) => (a.node < b.node ? -1 : 1));
--- a/src/coordination/roles.ts
+++ b/src/coordination/roles.ts
@@ -1,5 +1,6 @@
 import {
   CANCEL_MARGIN_S,
+  CANCEL_MARGIN_SHARE,
   CLOCK_DRIFT,
   HOME_SETTLE_MS,
   LEASE_MARGIN_MS,
@@ -28,8 +29,10 @@
  * cancellation that the owner never heard of is due.
  */
 export function graceMs(timing: Timing): number {
-  const s = timing.cancelS - timing.leaseS * (1 + CLOCK_DRIFT) - CANCEL_MARGIN_S;
-  return Math.max(1, s) * 1000;
+  const gap = Math.max(0, timing.cancelS - timing.leaseS * (1 + CLOCK_DRIFT));
+  // Where the deployment leaves little between the two, the margin must not eat up the grace: an
+  // owner whose grace is shorter than its watch takes would never answer a worker.
+  return (gap - Math.min(CANCEL_MARGIN_S, gap * CANCEL_MARGIN_SHARE)) * 1000;
 }
 
 /** The longest that a worker's tasks outlive its last answered report. */
