--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,4 +1,4 @@
-import { CHUNK_TASK_BYTES, GUARDS_PER_OP, URGENT_RESERVE } from '../constants.js';
+import { AGED_DEADLINES, CHUNK_TASK_BYTES, GUARDS_PER_OP, URGENT_RESERVE } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import {
   CATALOG,
@@ -157,6 +157,8 @@
  */
 export class Leader {
   private counter = 0;
+  /** Jobs that waited for their team's limit in the last round. */
+  private limited = new Set<string>();
   private busy = false;
   picture: Picture = { machines: [], unmet: [] };
 
@@ -267,6 +269,7 @@
     const open = this.openJobs(used, machines);
     const unmet: Unmet[] = [];
     const reserved = this.reserves();
+    const limited = new Set<string>();
     const changes: { key: string; value: ChunkRecord }[] = [];
     for (const job of open) {
       if (job.unassigned === 0) continue;
@@ -284,12 +287,22 @@
         job.unassigned,
         howMany(room, { ...need(job.spec, 1), memoryGb: 0 }),
       );
-      if (allowed <= 0) continue;
+      if (allowed <= 0) {
+        if (!this.limited.has(job.id)) {
+          this.log.info(
+            { job: job.id, team: job.spec.team, use },
+            'waits: its team is at its limit',
+          );
+        }
+        limited.add(job.id);
+        continue;
+      }
       const given = this.spreadOut(job, allowed, machines, changes);
       use.cpus += job.spec.cpus * given;
       use.gpus += job.spec.gpus * given;
       if (given < allowed) unmet.push({ spec: job.spec, count: allowed - given, at: job.at });
     }
+    this.limited = limited;
     this.picture = { machines: [...machines.values()], unmet };
     for (let at = 0; at < changes.length; at += this.options.txnOps) {
       const group = changes.slice(at, at + this.options.txnOps);
@@ -437,7 +450,10 @@
     }
     for (const claim of letBeLate([...claims.keys()], cpus)) {
       const job = claims.get(claim);
-      if (job) job.tier = 1;
+      // What has stepped back for long enough goes first: otherwise a large job whose team stays at
+      // its limit would never end.
+      const aged = job && claim.dueS < -(job.spec.deadlineS ?? 0) * AGED_DEADLINES;
+      if (job && !aged) job.tier = 1;
     }
   }
 
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -91,6 +91,7 @@
   spread: boolean;
   cancelledAt: number | null;
   urgent: boolean;
+  deadlineS: number | null;
   /** Its tasks fail on every machine. */
   broken: boolean;
 }
@@ -288,6 +289,7 @@
       cancelledAt: null,
       urgent: false,
       broken: false,
+      deadlineS: null,
       ...job,
     };
     this.jobs.set(id, whole);
@@ -308,6 +310,7 @@
       apart: whole.spread,
       windfall: whole.spot,
       guessS: whole.runS,
+      duskS: whole.deadlineS,
     };
     const node = this.nodes.get(at)?.node;
     if (!node) return Promise.resolve({ status: 0, body: null });
