--- a/src/constants.ts
+++ b/src/constants.ts
@@ -159,4 +159,4 @@
 /** Share of its CPUs in use up to which a machine's services may be moved away. */
 export const GATHER_USE = 0.5;
 /** Deadlines past its own after which a job that stepped back for others comes first again. */
-export const AGED_DEADLINES = 1.5;
+export const AGED_DEADLINES = 3;
