--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -59,7 +59,7 @@
     v.object({
       alpha: v.optional(amount, 2),
       penalty: v.optional(positive, 2),
-      snapshot_s: v.optional(positive, 120),
+      snapshot_s: v.optional(positive, 30),
     }),
     {},
   ),
