--- a/src/constants.ts
+++ b/src/constants.ts
@@ -112,7 +112,7 @@
 // --- Placement -------------------------------------------------------------------------------
 
 /** Task classes the bandit tells apart; the rest share one. The design's starting value. */
-export const CLASS_CAP = 4;
+export const CLASS_CAP = 20;
 /** s; first pause of a job whose tasks fail on machines, doubled with each failure in a row. */
 export const FAILURE_PAUSE_S = 2;
 export const FAILURE_PAUSE_MAX_S = 60;
