--- a/src/bookkeeping/committer.ts
+++ b/src/bookkeeping/committer.ts
@@ -57,7 +57,7 @@
       } catch (error) {
         if (error instanceof Refused) {
           if (error.status === 400) return { kind: 'conflict', failed: [] };
-          if (error.status === 429) this.gate.refused();
+          if (error.status === 429) this.gate.refused(changes.length);
         } else {
           unsure = true;
         }
--- a/src/bookkeeping/gate.ts
+++ b/src/bookkeeping/gate.ts
@@ -1,4 +1,4 @@
-import { STATE_SHARE } from '../constants.js';
+import { STATE_FLOOR, STATE_GROWTH, STATE_LIMIT, STATE_YIELD } from '../constants.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
 
@@ -6,30 +6,76 @@
 const ORDER = ['watch', 'role', 'part', 'leader', 'check', 'submit'] as const;
 export type Purpose = (typeof ORDER)[number];
 
+/**
+ * One of the state service's limits as this node uses it. All members together must stay below it,
+ * but what some leave unused should serve those that need it: each begins with its equal share,
+ * takes more as long as nothing is refused, and steps back when something is.
+ */
+class Share {
+  readonly budget: Budget;
+  private rate: number;
+  private readonly floor: number;
+  private grownAt: number;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly limit: number,
+    members: number,
+    burst: number,
+  ) {
+    this.rate = limit / members;
+    this.floor = this.rate * STATE_FLOOR;
+    this.grownAt = clock.now();
+    this.budget = new Budget(clock, this.rate, Math.max(this.rate, burst));
+  }
+
+  /** Work waits for this limit: time to try for more. */
+  grow(): void {
+    const now = this.clock.now();
+    const seconds = Math.min(1, (now - this.grownAt) / 1000);
+    this.grownAt = now;
+    this.set(Math.min(this.limit * STATE_LIMIT, this.rate + this.limit * STATE_GROWTH * seconds));
+  }
+
+  refused(): void {
+    this.grownAt = this.clock.now();
+    this.set(Math.max(this.floor, this.rate * STATE_YIELD));
+    this.budget.drain();
+  }
+
+  private set(rate: number): void {
+    this.rate = rate;
+    this.budget.setRate(rate);
+  }
+}
+
 /** Keeps this node's requests to the state service within its share of the limits. */
 export class Gate {
-  private readonly requests: Budget;
-  private readonly writes: Budget;
+  private readonly requests: Share;
+  private readonly writes: Share;
   private readonly waiting = new Map<Purpose, { cost: number; go: () => void }[]>();
   private timer: (() => void) | null = null;
+  /** Requests and writes passed, and refusals, for whoever watches the program. */
+  readonly passed = new Map<Purpose, { requests: number; writes: number }>();
+  refusals = 0;
 
   constructor(
     private readonly clock: Clock,
     rps: number,
     writeRps: number,
     txnOps: number,
+    members = 1,
   ) {
-    const requestRate = rps * STATE_SHARE;
-    const writeRate = writeRps * STATE_SHARE;
-    this.requests = new Budget(clock, requestRate, requestRate);
-    this.writes = new Budget(clock, writeRate, Math.max(writeRate, txnOps));
+    this.requests = new Share(clock, rps, members, 0);
+    this.writes = new Share(clock, writeRps, members, txnOps);
   }
 
   /** Waits for room for one request with so many writes. Watches and roles never wait. */
   pass(purpose: Purpose, cost: number): Promise<void> {
     if (purpose === 'watch' || purpose === 'role') {
-      this.requests.force(1);
-      if (cost > 0) this.writes.force(cost);
+      this.requests.budget.force(1);
+      if (cost > 0) this.writes.budget.force(cost);
+      this.count(purpose, cost);
       return Promise.resolve();
     }
     return new Promise((resolve) => {
@@ -40,10 +86,18 @@
     });
   }
 
-  /** The state service answered 429. */
-  refused(): void {
-    this.requests.drain();
-    this.writes.drain();
+  /** The state service answered 429 to a request with so many writes. */
+  refused(cost: number): void {
+    this.refusals++;
+    this.requests.refused();
+    if (cost > 0) this.writes.refused();
+  }
+
+  private count(purpose: Purpose, cost: number): void {
+    const counts = this.passed.get(purpose) ?? { requests: 0, writes: 0 };
+    counts.requests++;
+    counts.writes += cost;
+    this.passed.set(purpose, counts);
   }
 
   private pump(): void {
@@ -53,16 +107,18 @@
       while (queue && queue.length > 0) {
         const next = queue[0];
         if (!next) break;
-        const wait = Math.max(
-          next.cost > 0 ? this.writes.waitFor(next.cost) : 0,
-          this.requests.waitFor(1),
-        );
+        const writeWait = next.cost > 0 ? this.writes.budget.waitFor(next.cost) : 0;
+        const requestWait = this.requests.budget.waitFor(1);
+        if (writeWait > 0) this.writes.grow();
+        if (requestWait > 0) this.requests.grow();
+        const wait = Math.max(writeWait, requestWait);
         if (wait > 0) {
           this.timer = this.clock.after(wait, () => this.pump());
           return;
         }
-        this.requests.spend(1);
-        if (next.cost > 0) this.writes.spend(next.cost);
+        this.requests.budget.spend(1);
+        if (next.cost > 0) this.writes.budget.spend(next.cost);
+        this.count(purpose, next.cost);
         queue.shift();
         next.go();
       }
--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -2,10 +2,11 @@
   BACKOFF_FIRST_MS,
   BACKOFF_LAST_MS,
   FINAL_CACHE,
+  HURRY_SHARE,
   WATCH_HOLD_MS,
   WATCH_SPACING_MS,
 } from '../constants.js';
-import type { StateApi } from '../protocol/state-api.js';
+import { Refused, type StateApi } from '../protocol/state-api.js';
 import { Backoff } from '../transport/backoff.js';
 import { sleep, type Clock } from '../transport/clock.js';
 import { CHUNKS, FINALS, LIVE, ROOT, readChunkKey } from './keys.js';
@@ -18,13 +19,20 @@
   mark: number;
 }
 
+/** What a key is about: the word after the common prefix. */
+function kindOf(key: string): string {
+  const end = key.indexOf('/', LIVE.length);
+  return end < 0 ? key.slice(LIVE.length) : key.slice(LIVE.length, end);
+}
+
 /**
  * This node's copy of the live keys, kept by a watch. It is complete up to `revision`, and was so
  * at `freshAt` of this node's steady clock: the time at which the last answered watch was *sent*,
  * since the answer may have been held on its way.
  */
 export class View {
-  private readonly held = new Map<string, Held>();
+  /** Keys by their kind, so that nobody walks all keys for the few of one kind. */
+  private readonly held = new Map<string, Map<string, Held>>();
   /** Marks of keys removed ahead of the watch, so that older events don't bring them back. */
   private readonly removed = new Map<string, number>();
   private readonly finals = new Map<string, FinalRecord>();
@@ -33,9 +41,14 @@
   private readonly listeners: ((keys: string[]) => void)[] = [];
   private stopped = false;
   private wake: (() => void) | null = null;
+  /** A revision that a peer told of. */
+  private wanted = 0;
   revision = 0;
+  /** The newest revision that this node knows of, by its watch or by its own changes. */
+  newest = 0;
   freshAt = -Infinity;
   loaded = false;
+  private wholeFrom = 0;
 
   constructor(
     private readonly api: StateApi,
@@ -44,23 +57,32 @@
     private readonly log: Log,
     private readonly random: () => number,
     private readonly holdMs: number = WATCH_HOLD_MS,
+    private readonly spacingMs: number = WATCH_SPACING_MS,
   ) {}
 
+  /**
+   * False while pages of a reading of all keys describe different moments: the watch has yet to
+   * bring the first up to the last.
+   */
+  get whole(): boolean {
+    return this.loaded && this.revision >= this.wholeFrom;
+  }
+
   onChange(listener: (keys: string[]) => void): void {
     this.listeners.push(listener);
   }
 
   get<T>(key: string): Held<T> | null {
-    return (this.held.get(key) as Held<T> | undefined) ?? null;
+    return (this.held.get(kindOf(key))?.get(key) as Held<T> | undefined) ?? null;
   }
 
   markOf(key: string): number {
-    return this.held.get(key)?.mark ?? 0;
+    return this.get(key)?.mark ?? 0;
   }
 
   /** The keys below a prefix, in no order. */
   *below<T>(prefix: string): Generator<[string, Held<T>]> {
-    for (const [key, held] of this.held) {
+    for (const [key, held] of this.held.get(kindOf(prefix)) ?? []) {
       if (key.startsWith(prefix)) yield [key, held as Held<T>];
     }
   }
@@ -97,13 +119,16 @@
       return true;
     }
     if (!key.startsWith(LIVE)) return false;
-    const known = this.held.get(key);
+    const known = this.get(key);
     if ((known && known.mark >= mark) || (this.removed.get(key) ?? 0) >= mark) return false;
     if (value === undefined) {
-      this.held.delete(key);
+      this.held.get(kindOf(key))?.delete(key);
       if (mark > this.revision) this.removed.set(key, mark);
     } else {
-      this.held.set(key, { value, mark });
+      const kind = kindOf(key);
+      const group = this.held.get(kind);
+      if (group) group.set(key, { value, mark });
+      else this.held.set(kind, new Map([[key, { value, mark }]]));
     }
     if (key.startsWith(CHUNKS)) this.applyChunk(key, value as ChunkRecord | undefined);
     return true;
@@ -126,6 +151,7 @@
 
   /** Takes over changes made by this node itself, ahead of the watch. */
   applyOwn(changes: { key: string; value: unknown; mark: number }[]): void {
+    for (const one of changes) this.newest = Math.max(this.newest, one.mark);
     const changed = changes.filter((one) => this.apply(one.key, one.value, one.mark));
     if (changed.length > 0) this.tell(changed.map((one) => one.key));
   }
@@ -143,6 +169,7 @@
       await this.gate.pass('watch', 0);
       const page = await this.api.list(LIVE, after);
       first ??= page.revision;
+      this.wholeFrom = Math.max(this.wholeFrom, page.revision);
       for (const entry of page.entries) {
         seen.set(entry.key, { value: entry.value, mark: entry.mark });
         after = entry.key;
@@ -150,8 +177,9 @@
       if (!page.more) break;
     }
     const keys: string[] = [];
-    for (const [key, held] of this.held) {
-      if (!seen.has(key) && held.mark <= first) {
+    for (const group of this.held.values()) {
+      for (const [key, held] of group) {
+        if (seen.has(key) || held.mark > first) continue;
         this.apply(key, undefined, first);
         keys.push(key);
       }
@@ -164,11 +192,29 @@
     this.tell(keys);
   }
 
-  /** Asks for changes at once instead of after the usual spacing. */
-  hurry(): void {
+  /** There is something new, of this revision: asks for changes soon, not after the spacing. */
+  hurry(revision: number): void {
+    if (revision <= this.revision) return;
+    this.wanted = Math.max(this.wanted, revision);
     this.wake?.();
   }
 
+  /** The pause between two watches: what comes meanwhile shares the next answer. */
+  private async pause(): Promise<void> {
+    const least = this.spacingMs * HURRY_SHARE;
+    await sleep(this.clock, least);
+    if (this.wanted <= this.revision) {
+      await new Promise<void>((resolve) => {
+        const cancel = this.clock.after(this.spacingMs - least, resolve);
+        this.wake = () => {
+          cancel();
+          resolve();
+        };
+      });
+    }
+    this.wake = null;
+  }
+
   /** Follows the changes until stopped; failures are waited out. */
   async follow(): Promise<void> {
     const backoff = new Backoff(BACKOFF_FIRST_MS, BACKOFF_LAST_MS, this.random);
@@ -187,15 +233,9 @@
         this.take(result.events, result.revision);
         this.freshAt = Math.max(this.freshAt, sentAt);
         backoff.reset();
-        await new Promise<void>((resolve) => {
-          const cancel = this.clock.after(WATCH_SPACING_MS, resolve);
-          this.wake = () => {
-            cancel();
-            resolve();
-          };
-        });
-        this.wake = null;
+        await this.pause();
       } catch (error) {
+        if (error instanceof Refused && error.status === 429) this.gate.refused(0);
         this.log.debug({ error: String(error) }, 'watch failed');
         await sleep(this.clock, backoff.next());
       }
@@ -212,6 +252,7 @@
       if (this.apply(event.key, value, event.mark)) keys.push(event.key);
     }
     this.revision = Math.max(this.revision, revision);
+    this.newest = Math.max(this.newest, revision);
     for (const [key, mark] of this.removed) {
       if (mark <= this.revision) this.removed.delete(key);
     }
@@ -221,6 +262,6 @@
 
   stop(): void {
     this.stopped = true;
-    this.hurry();
+    this.wake?.();
   }
 }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -39,7 +39,8 @@
 export const MEMBER_RENEW_MS = 1_500;
 /** ms; a watch returns after this without a change, which confirms that the view is current. */
 export const WATCH_HOLD_MS = 1_000;
-/** ms; least time between two watch requests: changes close together share one answer. */
+/** ms; least time between two watch requests, where the limits allow so many: changes close
+ * together share one answer. */
 export const WATCH_SPACING_MS = 60;
 /** ms; first and longest pause after a failed request; the pause doubles in between. */
 export const BACKOFF_FIRST_MS = 100;
@@ -61,7 +62,18 @@
 export const LOOP_MS = 300;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
 export const LOOP_GATHER_MS = 20;
-/** ms; submissions that come within this time share a transaction. */
+/** ms; placements of lower work wait this long for others: a hundredth of a short task. */
+export const PLACE_GATHER_MS = 250;
+/** ms; ends of tasks wait this long for others of their chunk: users expect `done` within 3 s. */
+export const DONE_GATHER_MS = 1_000;
+/** ms; a part looks this often for machines that are dead or gone. */
+export const SWEEP_MS = 250;
+/** ms; a part writes what became of its machines this often at the most. */
+export const STATUS_PACE_MS = 700;
+/** Times its own processor time that a woken round rests, so that a large fleet's rounds leave most
+ * of a slow processor to reports and answers. */
+export const LOOP_REST = 4;
+/** ms; submissions that come within this time share a transaction; checks too, at the least. */
 export const GROUP_COMMIT_MS = 15;
 /** ms; a poll may wait this long for its check before it is answered 503 (users wait 2 s). */
 export const POLL_LIMIT_MS = 1_700;
@@ -94,8 +106,20 @@
 export const STATE_SOCKETS = 16;
 /** Bytes; a larger frame between peers is taken for a broken peer. */
 export const PEER_FRAME_BYTES = 1024 * 1024;
-/** Share of the state service's limits that one node may use: three nodes seldom peak together. */
-export const STATE_SHARE = 0.5;
+/** Least part of its equal share of the state service's limits that a node keeps when refused. */
+export const STATE_FLOOR = 0.5;
+/** Share of these limits that one node may use at the most, where the others leave it. */
+export const STATE_LIMIT = 0.8;
+/** Share of a limit by which a node's part of it grows in a second in which work waits. */
+export const STATE_GROWTH = 0.1;
+/** What is left of a node's part of a limit after a refusal. */
+export const STATE_YIELD = 0.7;
+/** Share of the state service's requests that all members' watches may take together. */
+export const WATCH_SHARE = 0.2;
+/** Share of them that all members' checks for users may take together. */
+export const CHECK_SHARE = 0.2;
+/** Part of the usual spacing of watches that is kept where a peer says that there is news. */
+export const HURRY_SHARE = 0.25;
 /** Share of the cloud's request limit the leader uses; a late leader may still be sending. */
 export const CLOUD_SHARE = 0.7;
 /** Commands of one report answer: keeps the line far below 64 KiB. */
@@ -120,6 +144,19 @@
 export const FAULTY_ERRORS = 3;
 /** ms; a task that found no room in its part for so long goes back to the leader. */
 export const RELEASE_MS = 4_000;
+/** ms; lower work queued in a part ahead of its room goes back after this: three times the length
+ * of a queue, so that only what the part can't run any more returns. */
+export const QUEUE_RELEASE_MS = 24_000;
+/** s; lower work waits in a part for the room that ends within this time: longer than the way from
+ * a task's end over the leader to a new chunk, so that no machine idles and chunks are not small. */
+export const QUEUE_S = 8;
+/** A queue is filled again when what waits is at most so many times what is missing. */
+export const QUEUE_REFILL = 1;
+/** ms; a job of lower work gets more tasks assigned this often at the most, except urgent ones. */
+export const ASSIGN_PACE_MS = 1_000;
+/** s; a job of which nothing has begun for so long comes first: the largest, which step back for
+ * others, must begin within 4 minutes, of which a boot and a long task may take one. */
+export const BEGIN_WITHIN_S = 120;
 /** Report intervals without a report after which a machine takes no new tasks. */
 export const SILENT_REPORTS = 3;
 /** Machines in one status record: keeps it far below the smallest value limit. */
@@ -132,6 +169,8 @@
 export const GONE_KEEP_MS = 300_000;
 /** Silent machines returned at once at the most: more of them look like a cut, not like deaths. */
 export const SILENT_RETURN_MAX = 2;
+/** Share of the fleet that may be returned for silence in that span, once silent for a lease. */
+export const SILENT_RETURN_SHARE = 0.1;
 /** ms; the span within which no more than that many silent machines are returned. */
 export const SILENT_RETURN_PERIOD_MS = 60_000;
 /** ms; at least so long past its boot time: its first report and its part's word take a while. */
@@ -156,6 +195,8 @@
 export const GATHER_MS = 15_000;
 /** ms; a replica younger than this stays: stopping it would undo its start. */
 export const GATHER_SETTLED_MS = 35_000;
+/** Share of a part's machines whose services may move in one go: one of a small fleet. */
+export const GATHER_SHARE = 0.05;
 /** Share of its CPUs in use up to which a machine's services may be moved away. */
 export const GATHER_USE = 0.5;
 /** Deadlines past its own after which a job that stepped back for others comes first again. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -13,6 +13,7 @@
   RUNNING_LEFT_S,
   SILENT_RETURN_MAX,
   SILENT_RETURN_PERIOD_MS,
+  SILENT_RETURN_SHARE,
   STUCK_BOOTS,
   STUCK_LEAST_MS,
 } from '../constants.js';
@@ -36,6 +37,7 @@
   txnOps: number;
   cloudRps: number;
   listLagS: number;
+  leaseS: number;
   idleMs: number;
   headroomCpus: number;
   spot: boolean;
@@ -64,7 +66,9 @@
   private readonly noCapacity = new Map<string, number>();
   private readonly idleSince = new Map<string, number>();
   private readonly silent = new Set<string>();
-  private silentReturns: number[] = [];
+  private readonly silentSince = new Map<string, number>();
+  /** Machines lately returned for silence, and when. */
+  private readonly silentReturns = new Map<string, number>();
   private readonly failed = new Set<string>();
   private requests = 0;
   private busy = false;
@@ -199,17 +203,34 @@
 
   /**
    * Machines that fell silent are returned, which proves their tasks gone sooner than their lease
-   * does. A few at a time only: many at once are a cut between them and their part.
+   * does. A few at a time only: many at once are a cut between them and their part. Of those, what
+   * stays silent for a lease has lost its tasks in any case, and some of them go too.
    */
   private findSilent(picture: Picture): void {
     const now = this.clock.now();
     this.silent.clear();
-    const names = picture.machines.filter((one) => one.health === 'silent').map((one) => one.name);
-    this.silentReturns = this.silentReturns.filter((at) => now - at < SILENT_RETURN_PERIOD_MS);
-    if (names.length + this.silentReturns.length > SILENT_RETURN_MAX) return;
+    const names = new Set(
+      picture.machines.filter((one) => one.health === 'silent').map((one) => one.name),
+    );
+    for (const name of this.silentSince.keys()) if (!names.has(name)) this.silentSince.delete(name);
     for (const name of names) {
+      if (!this.silentSince.has(name)) this.silentSince.set(name, now);
+    }
+    for (const [name, at] of this.silentReturns) {
+      if (now - at >= SILENT_RETURN_PERIOD_MS) this.silentReturns.delete(name);
+    }
+    const few = new Set([...names, ...this.silentReturns.keys()]).size <= SILENT_RETURN_MAX;
+    const most = Math.max(
+      SILENT_RETURN_MAX,
+      Math.floor(picture.machines.length * SILENT_RETURN_SHARE),
+    );
+    for (const [name, since] of this.silentSince) {
+      if (!few && now - since < this.options.leaseS * 1000) continue;
+      if (!this.silentReturns.has(name)) {
+        if (this.silentReturns.size >= most) continue;
+        this.silentReturns.set(name, now);
+      }
       this.silent.add(name);
-      this.silentReturns.push(now);
     }
   }
 
@@ -230,7 +251,7 @@
     const dearest = sorted[0] ? this.cpuPrice(sorted[0]) : 0;
     for (const machine of sorted) {
       if (machine.health === 'faulty') drain.push(machine);
-      if (machine.health !== 'ok' || machine.tasks > 0 || picture.unmet.length > 0) {
+      if (machine.health !== 'ok' || machine.tasks > 0) {
         this.idleSince.delete(machine.name);
         continue;
       }
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -79,6 +79,7 @@
   private readonly checks: Check[] = [];
   private readonly submissions: Submission[] = [];
   private checking = false;
+  private checkedAt = -Infinity;
   private committing = 0;
 
   constructor(
@@ -90,7 +91,10 @@
     private readonly committer: Committer,
     private readonly clock: Clock,
     private readonly log: Log,
-    private readonly committed: () => void,
+    /** Told of the jobs of each commit. */
+    private readonly committed: (jobs: string[]) => void,
+    /** ms between two checking transactions: what comes meanwhile shares the next. */
+    private readonly checkMs: number,
   ) {}
 
   get ready(): boolean {
@@ -187,7 +191,7 @@
       );
       if (result.kind === 'done') {
         for (const one of group) this.settle(one, 'accepted');
-        this.committed();
+        this.committed(group.map((one) => one.spec.id));
         return;
       }
       if (result.kind === 'givenUp') {
@@ -251,7 +255,9 @@
       this.clock.after(limitMs, () => this.answer(check, 'unsure'));
       if (!this.checking) {
         this.checking = true;
-        this.clock.after(GROUP_COMMIT_MS, () => void this.runChecks());
+        const since = this.clock.now() - this.checkedAt;
+        const wait = Math.max(GROUP_COMMIT_MS, this.checkMs - since);
+        this.clock.after(wait, () => void this.runChecks());
       }
     });
   }
@@ -267,6 +273,7 @@
     while (this.checks.length > 0) {
       const group = this.checks.splice(0, perTxn).filter((check) => !check.settled);
       if (group.length === 0) continue;
+      this.checkedAt = this.clock.now();
       try {
         await this.checkGroup(group);
       } catch (error) {
@@ -339,7 +346,7 @@
         () => this.clock.now() < deadline,
       );
       if (result.kind === 'done') {
-        this.committed();
+        this.committed([id]);
         return { status: 200, body: encodeJobState(id, 'cancelled') };
       }
       if (result.kind === 'givenUp') break;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,4 +1,13 @@
-import { AGED_DEADLINES, CHUNK_TASK_BYTES, GUARDS_PER_OP, URGENT_RESERVE } from '../constants.js';
+import {
+  AGED_DEADLINES,
+  ASSIGN_PACE_MS,
+  BEGIN_WITHIN_S,
+  CHUNK_TASK_BYTES,
+  GUARDS_PER_OP,
+  QUEUE_REFILL,
+  QUEUE_S,
+  URGENT_RESERVE,
+} from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import {
   CATALOG,
@@ -72,6 +81,16 @@
   guaranteed: boolean;
   /** 0: makes its deadline in this order; 1: would make others late, or is late already. */
   tier: number;
+  /** Nothing of it has begun for so long that it comes before all others of its rank. */
+  overdue: boolean;
+}
+
+/** What waits in a part beyond its free room, and what its machines finish meanwhile. */
+interface Queue {
+  part: string;
+  zone: string;
+  waitingCpus: number;
+  lowCpus: number;
 }
 
 /** What a job still needs of the fleet until its deadline; times in seconds from now. */
@@ -159,7 +178,12 @@
   private counter = 0;
   /** Jobs that waited for their team's limit in the last round. */
   private limited = new Set<string>();
+  /** Steady time at which a job last got some of its tasks assigned. */
+  private readonly assignedAt = new Map<string, number>();
+  private readonly parts = new Map<string, string>();
   private busy = false;
+  /** ms that the last round took, its waiting for the state service aside. */
+  costMs = 0;
   picture: Picture = { machines: [], unmet: [] };
 
   constructor(
@@ -170,13 +194,13 @@
     private readonly log: Log,
   ) {}
 
-  /** True: something was written that others wait for. */
-  async round(): Promise<boolean> {
-    if (this.busy) return false;
+  /** One round; returns the parts for which something was written. */
+  async round(): Promise<Set<string>> {
+    if (this.busy) return new Set();
     this.busy = true;
     try {
       await this.finishJobs();
-      return await this.assign();
+      return this.view.whole ? await this.assign() : new Set();
     } finally {
       this.busy = false;
     }
@@ -250,7 +274,7 @@
       const { state, type, zone, spot } = held.value;
       if (state !== 'rented') continue;
       const name = key.slice(MACHINES.length);
-      add(name, partOf(name, zone, this.options.members), type, zone, spot, 'booting');
+      add(name, this.partOf(name, zone), type, zone, spot, 'booting');
     }
     for (const [key, held] of this.view.below<StatusRecord>(STATUSES)) {
       const part = key.slice(STATUSES.length).split('/')[0] ?? '';
@@ -263,11 +287,24 @@
     return machines;
   }
 
-  private async assign(): Promise<boolean> {
+  private partOf(name: string, zone: string): string {
+    let part = this.parts.get(name);
+    if (part === undefined) {
+      part = partOf(name, zone, this.options.members);
+      this.parts.set(name, part);
+    }
+    return part;
+  }
+
+  private async assign(): Promise<Set<string>> {
+    const startedAt = this.clock.now();
     const machines = this.machines();
+    for (const name of this.parts.keys()) if (!machines.has(name)) this.parts.delete(name);
     const used = new Map<string, Usage>();
-    const open = this.openJobs(used, machines);
     const unmet: Unmet[] = [];
+    const queues = new Map<string, Queue>();
+    const open = this.openJobs(used, machines, queues, unmet);
+    const byPart = [...machines.values()].filter((one) => one.health === 'ok');
     const reserved = this.reserves();
     const limited = new Set<string>();
     const changes: { key: string; value: ChunkRecord }[] = [];
@@ -287,6 +324,13 @@
         job.unassigned,
         howMany(room, { ...need(job.spec, 1), memoryGb: 0 }),
       );
+      // Tasks that end one by one would each bring a chunk of their own: what follows them waits
+      // until some have come together.
+      const lately = startedAt - (this.assignedAt.get(job.id) ?? -Infinity) < ASSIGN_PACE_MS;
+      if (allowed > 0 && lately && rankOf(job.spec.priority) < rankOf('high')) {
+        unmet.push({ spec: job.spec, count: allowed, at: job.at });
+        continue;
+      }
       if (allowed <= 0) {
         if (!this.limited.has(job.id)) {
           this.log.info(
@@ -297,13 +341,20 @@
         limited.add(job.id);
         continue;
       }
-      const given = this.spreadOut(job, allowed, machines, changes);
+      const { given, roomless } = this.spreadOut(job, allowed, byPart, queues, changes);
       use.cpus += job.spec.cpus * given;
       use.gpus += job.spec.gpus * given;
-      if (given < allowed) unmet.push({ spec: job.spec, count: allowed - given, at: job.at });
+      if (given > 0) this.assignedAt.set(job.id, startedAt);
+      const short = allowed - given + roomless;
+      if (short > 0) unmet.push({ spec: job.spec, count: short, at: job.at });
+    }
+    for (const [job, at] of this.assignedAt) {
+      if (startedAt - at > ASSIGN_PACE_MS) this.assignedAt.delete(job);
     }
     this.limited = limited;
     this.picture = { machines: [...machines.values()], unmet };
+    this.costMs = this.clock.now() - startedAt;
+    const parts = new Set<string>();
     for (let at = 0; at < changes.length; at += this.options.txnOps) {
       const group = changes.slice(at, at + this.options.txnOps);
       const jobs = new Set(group.map((one) => one.key.split('/').at(-2) ?? ''));
@@ -318,8 +369,9 @@
       const result = await this.committer.commit('leader', guards, group, this.options.alive);
       this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
       if (result.kind !== 'done') break;
+      for (const one of group) parts.add(one.key.split('/').at(-3) ?? '');
     }
-    return changes.length > 0;
+    return parts;
   }
 
   /** CPUs of each team's limit that its urgent work may want at any moment. */
@@ -335,7 +387,12 @@
   }
 
   /** Jobs in the order of their turn, and what each team uses; takes room for what is assigned. */
-  private openJobs(used: Map<string, Usage>, machines: Map<string, Slotted>): Open[] {
+  private openJobs(
+    used: Map<string, Usage>,
+    machines: Map<string, Slotted>,
+    queues: Map<string, Queue>,
+    unmet: Unmet[],
+  ): Open[] {
     for (const chunk of this.view.chunks().values()) {
       const active = chunk.ids.length - chunk.done;
       const use = used.get(chunk.team) ?? { cpus: 0, gpus: 0 };
@@ -354,23 +411,40 @@
         if (low) machine.lowCpus += chunk.cpus;
       }
     }
+    let cpus = 0;
+    const groups = new Map<string, Slotted[]>();
+    for (const machine of machines.values()) {
+      if (machine.health !== 'ok') continue;
+      cpus += Math.max(0, machine.cpus) + machine.lowCpus;
+      const key = `${machine.part}\n${machine.zone}`;
+      const group = groups.get(key);
+      if (group) group.push(machine);
+      else groups.set(key, [machine]);
+      const queue = queues.get(key);
+      if (queue) queue.lowCpus += machine.lowCpus;
+      else {
+        const { part, zone, lowCpus } = machine;
+        queues.set(key, { part, zone, waitingCpus: 0, lowCpus });
+      }
+    }
     // Tasks that wait in a part take room there too, as first fit will give it to them.
     for (const chunk of this.view.chunks().values()) {
       let waiting = chunk.ids.length - chunk.done - chunk.liveCount;
-      const spec = this.view.get<JobRecord>(jobKey(chunk.job))?.value.spec;
-      if (waiting === 0 || !spec) continue;
-      for (const machine of machines.values()) {
+      const job = waiting === 0 ? null : this.view.get<JobRecord>(jobKey(chunk.job));
+      if (!job) continue;
+      const { spec, at } = job.value;
+      const key = `${chunk.part}\n${chunk.zone}`;
+      for (const machine of groups.get(key) ?? []) {
         if (waiting === 0) break;
-        if (machine.part !== chunk.part || machine.health !== 'ok') continue;
-        if (machine.zone !== chunk.zone || !mayUse(spec, machine)) continue;
+        if (machine.cpus < spec.cpus || !mayUse(spec, machine)) continue;
         const count = Math.min(waiting, howMany(machine, spec));
         this.occupy(machine, spec, count);
         waiting -= count;
       }
-    }
-    let cpus = 0;
-    for (const machine of machines.values()) {
-      if (machine.health === 'ok') cpus += Math.max(0, machine.cpus) + machine.lowCpus;
+      if (waiting === 0) continue;
+      const queue = queues.get(key);
+      if (queue) queue.waitingCpus += waiting * spec.cpus;
+      unmet.push({ spec, count: waiting, at });
     }
     return this.order(used, cpus);
   }
@@ -385,6 +459,7 @@
 
   private order(used: Map<string, Usage>, cpus: number): Open[] {
     const jobs: Open[] = [];
+    const wall = this.clock.wall();
     for (const [, held] of this.view.below<JobRecord>(JOBS)) {
       const { spec, at } = held.value;
       const chunks = this.view.chunksOf(spec.id);
@@ -398,6 +473,7 @@
         unassigned: Math.max(0, spec.tasks - assigned),
         guaranteed: false,
         tier: 0,
+        overdue: assigned === 0 && wall - at > BEGIN_WITHIN_S * 1000,
       });
     }
     this.setTiers(jobs, cpus);
@@ -422,6 +498,8 @@
       .sort(
         (a, b) =>
           rankOf(b.spec.priority) - rankOf(a.spec.priority) ||
+          Number(b.overdue) - Number(a.overdue) ||
+          (a.overdue ? a.at - b.at : 0) ||
           Number(b.guaranteed) - Number(a.guaranteed) ||
           a.tier - b.tier ||
           (due(a) === due(b) ? 0 : due(a) - due(b)) ||
@@ -457,48 +535,49 @@
     }
   }
 
-  /** Gives up to `allowed` tasks to parts with room; returns how many. */
+  /**
+   * Gives up to `allowed` tasks to parts: as many as they have free room for and, of lower work,
+   * what they will soon have room for. `roomless` of those `given` wait there for others to end.
+   */
   private spreadOut(
     job: Open,
     allowed: number,
-    machines: Map<string, Slotted>,
+    machines: Slotted[],
+    queues: Map<string, Queue>,
     changes: { key: string; value: ChunkRecord }[],
-  ): number {
+  ): { given: number; roomless: number } {
     const { spec } = job;
     const rooms = new Map<string, { part: string; zone: string; count: number }>();
-    const note = (machine: Slotted, count: number): void => {
+    const note = (machine: { part: string; zone: string }, count: number): void => {
       const key = `${machine.part}\n${machine.zone}`;
-      const room = rooms.get(key) ?? { part: machine.part, zone: machine.zone, count: 0 };
-      room.count += count;
-      rooms.set(key, room);
+      const room = rooms.get(key);
+      if (room) room.count += count;
+      else rooms.set(key, { part: machine.part, zone: machine.zone, count });
     };
     // Room beside other tasks first: machines that nothing needs then fall idle and are returned.
     let beside = 0;
     for (const busy of [true, false]) {
       if (!busy && beside >= allowed) break;
-      for (const machine of machines.values()) {
-        if (machine.health !== 'ok' || machine.tasks > 0 !== busy) continue;
+      for (const machine of machines) {
+        if (machine.cpus < spec.cpus || machine.tasks > 0 !== busy) continue;
         if (!mayUse(spec, machine)) continue;
         const count = howMany(machine, spec);
         if (count > 0) note(machine, count);
         if (busy) beside += count;
       }
     }
-    if (rooms.size === 0 && rankOf(spec.priority) >= rankOf('high')) {
+    const urgent = rankOf(spec.priority) >= rankOf('high');
+    if (rooms.size === 0 && urgent) {
       // No free room: the part may stop lower work for it.
-      for (const machine of machines.values()) {
-        if (machine.health !== 'ok' || !mayUse(spec, machine)) continue;
+      for (const machine of machines) {
+        if (machine.lowCpus <= 0 || !mayUse(spec, machine)) continue;
         const count = howMany({ ...machine, cpus: machine.cpus + machine.lowCpus }, spec);
         if (count > 0) note(machine, count);
       }
     }
-    const zones = this.zoneRooms(job, allowed, [...rooms.values()]);
-    let left = allowed;
     const free = this.freeIds(job);
-    for (const room of [...rooms.values()].sort((a, b) => b.count - a.count)) {
-      const count = Math.min(left, room.count, zones.get(room.zone) ?? 0);
-      if (count <= 0) continue;
-      zones.set(room.zone, (zones.get(room.zone) ?? 0) - count);
+    let left = allowed;
+    const give = (room: { part: string; zone: string }, count: number): void => {
       left -= count;
       const ids = free.splice(0, count);
       const perChunk = Math.max(1, Math.floor(this.options.valueBytes / CHUNK_TASK_BYTES));
@@ -518,30 +597,68 @@
           },
         });
       }
+    };
+    const queued: Queue[] = urgent || spec.kind !== 'array' ? [] : this.shortQueues(spec, queues);
+    const zones = this.zoneRooms(job, allowed, [
+      ...rooms.values(),
+      ...queued.map((queue) => ({ zone: queue.zone, count: this.queueRoom(spec, queue) })),
+    ]);
+    for (const room of [...rooms.values()].sort((a, b) => b.count - a.count)) {
+      const count = Math.min(left, room.count, zones.get(room.zone) ?? 0);
+      if (count <= 0) continue;
+      zones.set(room.zone, (zones.get(room.zone) ?? 0) - count);
+      give(room, count);
       this.fillRoom(spec, room, count, machines);
     }
-    return allowed - left;
+    const inRoom = allowed - left;
+    for (const queue of queued) {
+      const count = Math.min(left, this.queueRoom(spec, queue), zones.get(queue.zone) ?? 0);
+      if (count <= 0) continue;
+      zones.set(queue.zone, (zones.get(queue.zone) ?? 0) - count);
+      give(queue, count);
+      queue.waitingCpus += count * spec.cpus;
+    }
+    return { given: allowed - left, roomless: allowed - left - inRoom };
+  }
+
+  /** Tasks of a job that a part should have waiting: what ends there in the next seconds. */
+  private queueRoom(spec: JobSpec, queue: Queue): number {
+    const ending = queue.lowCpus * Math.min(1, QUEUE_S / Math.max(1, spec.estimateS));
+    return Math.floor((ending - queue.waitingCpus) / spec.cpus);
+  }
+
+  /** Parts whose queues are short enough to be filled again: seldom, and then with many tasks. */
+  private shortQueues(spec: JobSpec, queues: Map<string, Queue>): Queue[] {
+    return [...queues.values()]
+      .filter((queue) => {
+        if (spec.zone !== null && spec.zone !== queue.zone) return false;
+        const room = this.queueRoom(spec, queue);
+        return room > 0 && queue.waitingCpus <= room * spec.cpus * QUEUE_REFILL;
+      })
+      .sort((a, b) => a.waitingCpus - b.waitingCpus);
   }
 
   private fillRoom(
     spec: JobSpec,
     room: { part: string; zone: string },
     count: number,
-    machines: Map<string, Slotted>,
+    machines: Slotted[],
   ): void {
     let left = count;
-    const order = [...machines.values()].sort((a, b) => Number(b.tasks > 0) - Number(a.tasks > 0));
-    for (const machine of order) {
-      if (left === 0) return;
-      if (machine.part !== room.part || machine.zone !== room.zone) continue;
-      if (machine.health !== 'ok' || !mayUse(spec, machine)) continue;
-      const some = Math.min(left, howMany(machine, spec));
-      this.occupy(machine, spec, some);
-      left -= some;
+    const here = machines.filter((one) => one.part === room.part && one.zone === room.zone);
+    for (const busy of [true, false]) {
+      for (const machine of here) {
+        if (left === 0) return;
+        if (machine.tasks > 0 !== busy || machine.cpus < spec.cpus) continue;
+        if (!mayUse(spec, machine)) continue;
+        const some = Math.min(left, howMany(machine, spec));
+        this.occupy(machine, spec, some);
+        left -= some;
+      }
     }
-    for (const machine of machines.values()) {
+    for (const machine of here) {
       if (left === 0) return;
-      if (machine.part !== room.part || machine.lowCpus < spec.cpus) continue;
+      if (machine.lowCpus < spec.cpus) continue;
       const some = Math.min(left, Math.floor(machine.lowCpus / spec.cpus));
       machine.lowCpus -= some * spec.cpus;
       left -= some;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -2,11 +2,13 @@
 import type { Server } from 'node:http';
 import type net from 'node:net';
 import {
+  CHECK_SHARE,
   CLOUD_TIMEOUT_MS,
   DIRECT_TIMEOUT_MS,
   LIST_PAGE,
   LOOP_GATHER_MS,
   LOOP_MS,
+  LOOP_REST,
   MAX_BODY_BYTES,
   PEER_FRAME_BYTES,
   PEER_RETRY_MS,
@@ -18,10 +20,12 @@
   STATE_TIMEOUT_MS,
   WATCH_GRACE_SHARE,
   WATCH_HOLD_MS,
+  WATCH_SHARE,
+  WATCH_SPACING_MS,
 } from '../constants.js';
 import { Committer } from '../bookkeeping/committer.js';
 import { Gate } from '../bookkeeping/gate.js';
-import { roleKey } from '../bookkeeping/keys.js';
+import { ARMS, NODES, ROLES, roleKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import { Reach } from '../bookkeeping/reach.js';
 import { View } from '../bookkeeping/view.js';
@@ -60,6 +64,7 @@
 type UserAsk = Exclude<Ask, 'report'>;
 
 interface Loop {
+  schedule(delayMs: number): void;
   wake(): void;
 }
 
@@ -82,7 +87,11 @@
   private readonly relays = new Map<number, (reply: HttpReply) => void>();
   private relayCount = 0;
   private stopped = false;
-  private readonly loops: Loop[] = [];
+  private readonly gate: Gate;
+  private readonly rolesLoop: Loop;
+  private readonly partsLoop: Loop;
+  private readonly leaderLoop: Loop;
+  private readonly fleetLoop: Loop;
 
   constructor(
     private readonly settings: Settings,
@@ -93,7 +102,11 @@
     const { clock } = outside;
     this.reach = new Reach(clock);
     const state = this.reach.watch(outside.state);
-    const gate = new Gate(clock, settings.stateRps, settings.stateWriteRps, settings.txnOps);
+    const count = settings.peers.length + 1;
+    this.gate = new Gate(clock, settings.stateRps, settings.stateWriteRps, settings.txnOps, count);
+    const { gate } = this;
+    /** ms between requests of all members that take this share of the state service's limit. */
+    const spacing = (share: number): number => (1000 * count) / (settings.stateRps * share);
     this.random = randomOf(hash(incarnation));
     this.view = new View(
       state,
@@ -102,6 +115,7 @@
       log,
       this.random,
       Math.floor(Math.min(WATCH_HOLD_MS, graceMs(settings) * WATCH_GRACE_SHARE)),
+      Math.max(WATCH_SPACING_MS, spacing(WATCH_SHARE)),
     );
     this.committer = new Committer(state, gate, this.view, clock, log, this.random);
     const self = { node: settings.node, zone: settings.zone };
@@ -127,17 +141,26 @@
       this.committer,
       clock,
       log,
-      () => this.poke(),
+      (jobs) => this.tellOf(jobs),
+      spacing(CHECK_SHARE),
     );
+    this.rolesLoop = this.loop('roles', () => this.roles.round());
+    this.partsLoop = this.loop('parts', () => this.partsRound());
+    this.leaderLoop = this.loop(
+      'leader',
+      () => this.leaderRound(),
+      () => this.leader?.costMs ?? 0,
+    );
+    this.fleetLoop = this.loop('fleet', () => this.fleetRound());
     this.view.onChange((keys) => this.changed(keys));
   }
 
   start(): void {
     void this.view.follow();
-    this.loop('roles', () => this.roles.round());
-    this.loop('parts', () => this.partsRound());
-    this.loop('leader', () => this.leaderRound());
-    this.loop('fleet', () => this.fleetRound());
+    this.rolesLoop.schedule(0);
+    this.partsLoop.schedule(0);
+    this.leaderLoop.schedule(0);
+    this.fleetLoop.schedule(0);
   }
 
   stop(): void {
@@ -195,18 +218,23 @@
     }
   }
 
-  /** Runs a round now and again, and soon after it is woken; no failure ends it. */
-  private loop(name: string, round: () => Promise<void>): void {
+  /**
+   * Runs a round now and again, and soon after it is woken; no failure ends it. `costMs` tells how
+   * much of the processor a round takes: the pause before the next leaves most of it to reports.
+   */
+  private loop(name: string, round: () => Promise<void>, costMs: () => number = () => 0): Loop {
     const { clock } = this.outside;
     let cancel: (() => void) | null = null;
     let running = false;
     let again = false;
+    const gatherMs = (): number => Math.max(LOOP_GATHER_MS, costMs() * LOOP_REST);
     const run = async (): Promise<void> => {
       if (this.stopped) return;
       cancel?.();
       cancel = null;
       running = true;
       again = false;
+      soon = false;
       try {
         await round();
       } catch (error) {
@@ -216,35 +244,38 @@
         );
       }
       running = false;
-      schedule(again ? LOOP_GATHER_MS : LOOP_MS);
+      soon = again;
+      schedule(again ? gatherMs() : LOOP_MS);
     };
     const schedule = (delay: number): void => {
       cancel?.();
       cancel = clock.after(delay, () => void run());
     };
     let soon = false;
-    this.loops.push({
+    return {
+      schedule,
       wake: () => {
         again = true;
-        if (running || soon) return;
+        if (running || soon || this.stopped) return;
         soon = true;
-        clock.after(LOOP_GATHER_MS, () => {
-          soon = false;
-          if (!running && !this.stopped) void run();
-        });
+        schedule(gatherMs());
       },
-    });
-    schedule(0);
-  }
-
-  private wakeAll(): void {
-    for (const loop of this.loops) loop.wake();
+    };
   }
 
   private changed(keys: string[]): void {
-    for (const key of keys) for (const part of this.parts.values()) part.changed(key);
+    let parts = false;
+    let roles = false;
+    let lead = false;
+    for (const key of keys) {
+      for (const part of this.parts.values()) if (part.changed(key)) parts = true;
+      if (key.startsWith(ROLES) || key.startsWith(NODES)) roles = true;
+      else if (!key.startsWith(ARMS)) lead = true;
+    }
     this.syncRoles();
-    if (keys.length > 0) this.wakeAll();
+    if (roles) this.rolesLoop.wake();
+    if (parts || roles) this.partsLoop.wake();
+    if (lead && this.leader) this.leaderLoop.wake();
   }
 
   /** Puts the objects that act in a role in step with what the view says we own. */
@@ -275,13 +306,14 @@
           startWithinS: settings.startWithinS,
           snapshotMs: settings.placement.snapshotS * 1000,
           alive: () => this.roles.owned(role)?.term === owned.term,
+          written: () => this.tellOwner(LEADER),
         },
         this.view,
         this.committer,
         outside.workers,
         outside.clock,
         log,
-        () => this.loops[1]?.wake(),
+        () => this.partsLoop.wake(),
       );
       this.parts.set(member.node, part);
       this.partTerms.set(member.node, owned.term);
@@ -318,6 +350,7 @@
           ...common,
           cloudRps: settings.cloudRps,
           listLagS: settings.listLagS,
+          leaseS: settings.leaseS,
           idleMs: settings.fleet.idleS * 1000,
           headroomCpus: settings.fleet.headroomCpus,
           spot: settings.fleet.spot,
@@ -343,7 +376,8 @@
   }
 
   private async leaderRound(): Promise<void> {
-    if (await this.leader?.round()) this.poke();
+    const written = await this.leader?.round();
+    for (const part of written ?? []) this.tellOwner(partRole(part));
   }
 
   private async fleetRound(): Promise<void> {
@@ -413,14 +447,20 @@
 
   // --- Peers ---------------------------------------------------------------------------------
 
-  /** Tells the others that there is something new to read. */
-  private poke(): void {
-    const message: PeerMessage = {
-      kind: 'poke',
-      node: this.settings.node,
-      revision: this.view.revision,
-    };
-    for (const peer of this.settings.peers) this.outside.tellPeer(peer.node, message);
+  /** Tells the owner of a role that there is something new for it to read. */
+  private tellOwner(role: string): void {
+    const owner = this.roles.ownerOf(role);
+    if (owner === null || owner === this.settings.node) return;
+    const { node } = this.settings;
+    this.outside.tellPeer(owner, { kind: 'poke', node, revision: this.view.newest });
+  }
+
+  /** Jobs were accepted or cancelled here: their leader and the parts that hold them must know. */
+  private tellOf(jobs: string[]): void {
+    const parts = new Set<string>();
+    for (const job of jobs) for (const chunk of this.view.chunksOf(job)) parts.add(chunk.part);
+    this.tellOwner(LEADER);
+    for (const part of parts) this.tellOwner(partRole(part));
   }
 
   private async answerRelay(
@@ -439,7 +479,7 @@
   heard(message: PeerMessage, answer: (message: PeerMessage) => void): void {
     switch (message.kind) {
       case 'poke':
-        this.view.hurry();
+        this.view.hurry(message.revision);
         return;
       case 'relay':
         void this.answerRelay(message).then((reply) => {
--- /dev/null
+++ b/src/coordination/placing.ts
@@ -0,0 +1,296 @@
+import {
+  ATTEMPT_PARTS,
+  ATTEMPT_STEP,
+  FETCH_SHARE,
+  GATHER_MS,
+  GATHER_SETTLED_MS,
+  GATHER_SHARE,
+  GATHER_USE,
+} from '../constants.js';
+import type { Log } from '../bookkeeping/log.js';
+import { rankOf, type JobSpec } from '../protocol/terms.js';
+import type { Clock } from '../transport/clock.js';
+import type { Bandit } from './bandit.js';
+import { fits, take, type Machine, type Machines, type Room } from './machines.js';
+import type { Chunk, Slot, Tasks } from './tasks.js';
+
+/** A machine that may take tasks, the room left on it, and whether it holds none. */
+interface Place {
+  machine: Machine;
+  room: Room;
+  empty: boolean;
+}
+
+export interface PlacingOptions {
+  number: number;
+  term: number;
+  /** Seconds within which tasks of a class should start. */
+  startWithinS: Readonly<Record<string, number>>;
+  /** A job's description and the time of day of its acceptance; null: it is over. */
+  job: (id: string) => { spec: JobSpec; at: number } | null;
+  /** Whether a job waits after failures. */
+  pauses: (id: string) => boolean;
+}
+
+export function taskClass(spec: JobSpec): string {
+  return `${spec.class}/${spec.cpus}/${spec.gpus}`;
+}
+
+/** Decides where a part's waiting tasks go: the bandit picks the type, first fit fills it. */
+export class Placing {
+  private attempts = 0;
+  private gatherAt = 0;
+
+  constructor(
+    private readonly options: PlacingOptions,
+    private readonly tasks: Tasks,
+    private readonly machines: Machines,
+    private readonly bandit: Bandit,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  /** Places what waits; returns the machines on which tasks must now be stopped. */
+  place(): Set<string> {
+    const stopped = new Set<string>();
+    const waiting: { chunk: Chunk; spec: JobSpec; due: number; at: number }[] = [];
+    for (const chunk of this.tasks.waiting) {
+      const job = this.options.job(chunk.job);
+      if (!job || this.options.pauses(chunk.job)) continue;
+      const { spec, at } = job;
+      const due = spec.deadlineS === null ? Infinity : at + spec.deadlineS * 1000;
+      waiting.push({ chunk, spec, due, at });
+    }
+    if (waiting.length === 0) return stopped;
+    waiting.sort(
+      (a, b) =>
+        rankOf(b.spec.priority) - rankOf(a.spec.priority) ||
+        (a.due === b.due ? a.at - b.at : a.due - b.due),
+    );
+    const places = this.places();
+    const load = this.load();
+    const lowest = this.lowestRank();
+    let short = false;
+    for (const { chunk, spec } of waiting) {
+      const open = places.filter(({ machine }) => this.allows(spec, chunk, machine));
+      for (const slot of [...chunk.waiting]) {
+        let target = this.choose(spec, chunk, open, load);
+        if (!target && rankOf(spec.priority) > lowest) {
+          target = this.preempt(spec, chunk, open, stopped);
+        }
+        if (!target) {
+          // No room for one task of a chunk is none for the others: they are alike.
+          short = true;
+          break;
+        }
+        take(target.room, chunk.record);
+        target.empty = false;
+        const { type, name } = target.machine;
+        load.set(type, (load.get(type) ?? 0) + 1);
+        const context = this.bandit.context(taskClass(spec), type, load);
+        this.tasks.place(chunk, slot, name, this.nextAttempt(), context);
+      }
+    }
+    // Room is short: a machine that was being emptied is needed after all.
+    if (short) for (const machine of this.machines.all.values()) machine.closing = false;
+    return stopped;
+  }
+
+  /** The term at which an attempt was made. */
+  static termOf(attempt: number): number {
+    return Math.floor(attempt / ATTEMPT_STEP / ATTEMPT_PARTS);
+  }
+
+  private nextAttempt(): number {
+    const { term, number } = this.options;
+    return (term * ATTEMPT_PARTS + number) * ATTEMPT_STEP + ++this.attempts;
+  }
+
+  private places(): Place[] {
+    const places: Place[] = [];
+    for (const machine of this.machines.inOrder()) {
+      if (machine.closing || !this.machines.usable(machine)) continue;
+      if (this.machines.health(machine) !== 'ok') continue;
+      const room = this.machines.capacity(machine.type);
+      const placed = this.tasks.on(machine.name);
+      for (const [slot, chunk] of placed) if (!slot.halting) take(room, chunk.record);
+      places.push({ machine, room, empty: placed.size === 0 });
+    }
+    return places;
+  }
+
+  /** Queued and running tasks by machine type. */
+  private load(): Map<string, number> {
+    const load = new Map<string, number>();
+    for (const name of this.tasks.machines()) {
+      const type = this.machines.all.get(name)?.type;
+      if (type) load.set(type, (load.get(type) ?? 0) + this.tasks.on(name).size);
+    }
+    return load;
+  }
+
+  private lowestRank(): number {
+    let lowest = Infinity;
+    for (const chunk of this.tasks.chunks.values()) {
+      if (chunk.placed === 0) continue;
+      const spec = this.options.job(chunk.job)?.spec;
+      if (spec) lowest = Math.min(lowest, rankOf(spec.priority));
+    }
+    return lowest;
+  }
+
+  private allows(spec: JobSpec, chunk: Chunk, machine: Machine): boolean {
+    return (
+      machine.zone === chunk.record.zone &&
+      (spec.zone === null || spec.zone === machine.zone) &&
+      (spec.types === null || spec.types.includes(machine.type)) &&
+      (spec.spot || !machine.spot)
+    );
+  }
+
+  /** The design's ordinary path: the bandit picks the type, first fit in fixed order fills it. */
+  private choose(
+    spec: JobSpec,
+    chunk: Chunk,
+    open: Place[],
+    load: Map<string, number>,
+  ): Place | null {
+    const free = open.filter(({ room }) => fits(room, chunk.record));
+    if (free.length === 0) return null;
+    // Work with an aim for its start goes where its image is there in time, if that is anywhere.
+    const within = this.options.startWithinS[spec.class];
+    const quick =
+      within === undefined
+        ? []
+        : free.filter(({ machine }) => this.fetchS(machine, spec) <= within * FETCH_SHARE);
+    const good = quick.length > 0 ? quick : free;
+    const types = new Set(good.map(({ machine }) => machine.type));
+    let best = '';
+    let bestScore = -Infinity;
+    for (const type of types) {
+      const score =
+        types.size === 1
+          ? 0
+          : this.bandit.score(type, this.bandit.context(taskClass(spec), type, load));
+      if (score > bestScore) {
+        bestScore = score;
+        best = type;
+      }
+    }
+    // Services fill the fixed order from its start, arrays from its end, where the spot machines
+    // are: what runs for long stays together, and the machines between the two fall idle. A machine
+    // with the image comes first, an empty one last: it may soon be returned.
+    let chosen: Place | null = null;
+    let chosenWorth = -1;
+    for (const place of good) {
+      if (place.machine.type !== best) continue;
+      const worth = (place.machine.images.has(spec.image) ? 2 : 0) + (place.empty ? 0 : 1);
+      if (worth > chosenWorth || (worth === chosenWorth && spec.kind === 'array')) {
+        chosen = place;
+        chosenWorth = worth;
+      }
+    }
+    return chosen;
+  }
+
+  /** Seconds that a machine will take to fetch a job's image. */
+  private fetchS(machine: Machine, spec: JobSpec): number {
+    if (machine.images.has(spec.image)) return 0;
+    return spec.imageGb / Math.max(1e-6, this.machines.type(machine.type)?.fetchGbPerS ?? 0);
+  }
+
+  /** Room made by stopping work of lower priority; the newest of the lowest goes first. */
+  private preempt(spec: JobSpec, chunk: Chunk, open: Place[], stopped: Set<string>): Place | null {
+    const rank = rankOf(spec.priority);
+    let best: { place: Place; victims: [Slot, Chunk][] } | null = null;
+    for (const place of open) {
+      const lower = [...this.tasks.on(place.machine.name)]
+        .filter(([slot, other]) => {
+          const otherSpec = slot.halting ? null : this.options.job(other.job)?.spec;
+          return otherSpec && rankOf(otherSpec.priority) < rank;
+        })
+        .sort(([a], [b]) => (b.runningAt ?? Infinity) - (a.runningAt ?? Infinity));
+      const room = { ...place.room };
+      const victims: [Slot, Chunk][] = [];
+      for (const [slot, other] of lower) {
+        if (fits(room, chunk.record)) break;
+        take(room, other.record, -1);
+        victims.push([slot, other]);
+      }
+      if (!fits(room, chunk.record)) continue;
+      if (best === null || victims.length < best.victims.length) best = { place, victims };
+      if (victims.length <= 1) break;
+    }
+    if (best === null) return null;
+    const { place, victims } = best;
+    for (const [slot, other] of victims) {
+      take(place.room, other.record, -1);
+      // What was never committed was never sent either.
+      if (this.tasks.committed(other, slot)) slot.halting = true;
+      else this.tasks.requeue(other, slot);
+    }
+    stopped.add(place.machine.name);
+    this.log.info(
+      { job: spec.id, machine: place.machine.name, victims: victims.length },
+      'stopping lower work to make room',
+    );
+    return place;
+  }
+
+  /**
+   * Moves the services of little-used machines to others that have room and their images, so that
+   * these machines fall idle and are returned. A replica is away for well under a second; one that
+   * started a moment ago stays, and nothing moves while tasks wait. Returns the machines on which
+   * tasks must now be stopped.
+   */
+  gather(): Set<string> {
+    const now = this.clock.now();
+    const emptied = new Set<string>();
+    if (this.tasks.waiting.size > 0 || now < this.gatherAt) return emptied;
+    this.gatherAt = now + GATHER_MS;
+    for (const machine of this.machines.all.values()) machine.closing = false;
+    const places = this.places().filter((place) => !place.empty);
+    places.sort((a, b) => this.use(a) - this.use(b));
+    const most = Math.max(1, Math.round(places.length * GATHER_SHARE));
+    for (const [at, place] of places.entries()) {
+      if (this.use(place) > GATHER_USE || emptied.size >= most) return emptied;
+      const tasks = [...this.tasks.on(place.machine.name)];
+      const movable = tasks.every(([slot, chunk]) => {
+        const settled = slot.runningAt !== null && now - slot.runningAt > GATHER_SETTLED_MS;
+        return this.options.job(chunk.job)?.spec.kind === 'service' && settled && !slot.halting;
+      });
+      if (!movable || tasks.length === 0) continue;
+      const targets = places.slice(at + 1).filter((other) => !other.machine.closing);
+      const taken: { place: Place; chunk: Chunk }[] = [];
+      const fit = tasks.every(([, chunk]) => {
+        const spec = this.options.job(chunk.job)?.spec;
+        const target = targets.find(
+          ({ machine, room }) =>
+            spec !== undefined &&
+            fits(room, chunk.record) &&
+            this.allows(spec, chunk, machine) &&
+            machine.images.has(spec.image),
+        );
+        if (!target) return false;
+        take(target.room, chunk.record);
+        taken.push({ place: target, chunk });
+        return true;
+      });
+      if (!fit) {
+        for (const one of taken) take(one.place.room, one.chunk.record, -1);
+        continue;
+      }
+      place.machine.closing = true;
+      for (const [slot] of tasks) slot.halting = true;
+      emptied.add(place.machine.name);
+      this.log.info({ machine: place.machine.name, tasks: tasks.length }, 'moving services away');
+    }
+    return emptied;
+  }
+
+  /** Share of a machine's CPUs in use. */
+  private use(place: Place): number {
+    const { cpus } = this.machines.capacity(place.machine.type);
+    return cpus > 0 ? 1 - place.room.cpus / cpus : 1;
+  }
+}
--- a/src/coordination/roles.ts
+++ b/src/coordination/roles.ts
@@ -160,7 +160,11 @@
     const lease = await this.api.grant(MEMBER_TTL_MS);
     const value: NodeRecord = { incarnation: this.incarnation };
     const changes: Change[] = [{ key: nodeKey(this.self.node), value, lease }];
-    const guards: Guard[] = [];
+    // A registration of the process before this one may still be on its way to the store: it must
+    // not undo this one, nor this one a newer.
+    const guards: Guard[] = [
+      { key: nodeKey(this.self.node), mark: this.view.markOf(nodeKey(this.self.node)) },
+    ];
     // Roles of the process before this one are taken along with the registration.
     for (const { role, home } of this.all()) {
       const held = this.view.get<RoleRecord>(roleKey(role));
--- /dev/null
+++ b/src/coordination/tasks.ts
@@ -0,0 +1,265 @@
+import { chunkPrefix, readChunkKey } from '../bookkeeping/keys.js';
+import { readRanges, writeRanges } from '../bookkeeping/ranges.js';
+import type { ChunkRecord } from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import type { Clock } from '../transport/clock.js';
+
+/** One task of a chunk: waiting, placed on a machine, or done. */
+export interface Slot {
+  index: number;
+  state: 'pending' | 'live' | 'done';
+  machine: string;
+  attempt: number;
+  /** Steady time at which a report first showed it running; null: not yet. */
+  runningAt: number | null;
+  /** Being stopped to make room. */
+  halting: boolean;
+  /** Its start, or its stop, went out and no later report shows that it was lost. */
+  startSent: boolean;
+  stopSent: boolean;
+  pendingSince: number;
+  context: number[] | null;
+}
+
+export interface Chunk {
+  key: string;
+  job: string;
+  record: ChunkRecord;
+  slots: Map<number, Slot>;
+  /** Its slots that wait for a place, in the order of their numbers. */
+  waiting: Set<Slot>;
+  placed: number;
+  /** As last committed. */
+  stored: ChunkRecord;
+  /** Steady time of the oldest change that is not committed; null: none. */
+  dirtySince: number | null;
+}
+
+/**
+ * The tasks assigned to one part. Indexed by machine, by job and by what is left to do, so that a
+ * report costs what its own machine holds and a round what has changed, whatever the part's size.
+ */
+export class Tasks {
+  readonly chunks = new Map<string, Chunk>();
+  /** Chunks with tasks that wait for a place. */
+  readonly waiting = new Set<Chunk>();
+  /** Chunks that are not as the state service holds them. */
+  readonly dirty = new Set<Chunk>();
+  private readonly byJob = new Map<string, Set<Chunk>>();
+  private readonly byMachine = new Map<string, Map<Slot, Chunk>>();
+
+  constructor(
+    private readonly part: string,
+    private readonly view: View,
+    private readonly clock: Clock,
+  ) {
+    for (const [key] of view.below<ChunkRecord>(chunkPrefix(part))) this.changed(key);
+  }
+
+  /** A key of the view changed. The part alone changes its chunks: only new and gone ones count. */
+  changed(key: string): void {
+    if (!key.startsWith(chunkPrefix(this.part))) return;
+    const held = this.view.get<ChunkRecord>(key);
+    const known = this.chunks.get(key);
+    if (!held) {
+      if (known) this.drop(known);
+      return;
+    }
+    if (known) return;
+    const name = readChunkKey(key);
+    if (!name) return;
+    const chunk: Chunk = {
+      key,
+      job: name.job,
+      record: held.value,
+      stored: held.value,
+      slots: new Map(),
+      waiting: new Set(),
+      placed: 0,
+      dirtySince: null,
+    };
+    this.chunks.set(key, chunk);
+    const group = this.byJob.get(chunk.job);
+    if (group) group.add(chunk);
+    else this.byJob.set(chunk.job, new Set([chunk]));
+    this.fill(chunk);
+  }
+
+  private fill(chunk: Chunk): void {
+    const done = new Set(readRanges(chunk.stored.done));
+    const now = this.clock.now();
+    for (const index of readRanges(chunk.stored.ids)) {
+      const live = chunk.stored.live[String(index)];
+      const slot: Slot = {
+        index,
+        state: done.has(index) ? 'done' : live ? 'live' : 'pending',
+        machine: live?.[0] ?? '',
+        attempt: live?.[1] ?? 0,
+        runningAt: null,
+        halting: false,
+        startSent: false,
+        stopSent: false,
+        pendingSince: now,
+        context: null,
+      };
+      chunk.slots.set(index, slot);
+      if (slot.state === 'live') this.put(chunk, slot);
+      else if (slot.state === 'pending') chunk.waiting.add(slot);
+    }
+    if (chunk.waiting.size > 0) this.waiting.add(chunk);
+  }
+
+  private empty(chunk: Chunk): void {
+    for (const slot of chunk.slots.values()) if (slot.state === 'live') this.lift(chunk, slot);
+    chunk.slots.clear();
+    chunk.waiting.clear();
+    this.waiting.delete(chunk);
+    this.clean(chunk);
+  }
+
+  private put(chunk: Chunk, slot: Slot): void {
+    chunk.placed++;
+    const group = this.byMachine.get(slot.machine);
+    if (group) group.set(slot, chunk);
+    else this.byMachine.set(slot.machine, new Map([[slot, chunk]]));
+  }
+
+  private lift(chunk: Chunk, slot: Slot): void {
+    chunk.placed--;
+    const group = this.byMachine.get(slot.machine);
+    group?.delete(slot);
+    if (group?.size === 0) this.byMachine.delete(slot.machine);
+  }
+
+  /** Forgets a chunk; true: it was the last of its job. */
+  drop(chunk: Chunk): boolean {
+    this.empty(chunk);
+    this.chunks.delete(chunk.key);
+    const group = this.byJob.get(chunk.job);
+    group?.delete(chunk);
+    if (group?.size === 0) this.byJob.delete(chunk.job);
+    return !this.byJob.has(chunk.job);
+  }
+
+  /** Goes back to what is stored; reports tell again what was heard meanwhile. */
+  resync(chunk: Chunk): void {
+    const held = this.view.get<ChunkRecord>(chunk.key);
+    if (!held) {
+      this.drop(chunk);
+      return;
+    }
+    this.empty(chunk);
+    chunk.stored = held.value;
+    chunk.record = held.value;
+    this.fill(chunk);
+  }
+
+  touch(chunk: Chunk): void {
+    chunk.dirtySince ??= this.clock.now();
+    this.dirty.add(chunk);
+  }
+
+  clean(chunk: Chunk): void {
+    chunk.dirtySince = null;
+    this.dirty.delete(chunk);
+  }
+
+  of(job: string): Iterable<Chunk> {
+    return this.byJob.get(job) ?? [];
+  }
+
+  find(job: string, index: number): { chunk: Chunk; slot: Slot } | null {
+    for (const chunk of this.of(job)) {
+      const slot = chunk.slots.get(index);
+      if (slot) return { chunk, slot };
+    }
+    return null;
+  }
+
+  /** Names of the machines on which tasks are placed. */
+  machines(): Iterable<string> {
+    return this.byMachine.keys();
+  }
+
+  /** The tasks placed on a machine. */
+  on(machine: string): ReadonlyMap<Slot, Chunk> {
+    return this.byMachine.get(machine) ?? NONE;
+  }
+
+  /** Whether the state service holds this placement: only then may its start be sent. */
+  committed(chunk: Chunk, slot: Slot): boolean {
+    return chunk.stored.live[String(slot.index)]?.[1] === slot.attempt;
+  }
+
+  place(chunk: Chunk, slot: Slot, machine: string, attempt: number, context: number[] | null) {
+    this.leave(chunk, slot);
+    slot.state = 'live';
+    slot.machine = machine;
+    slot.attempt = attempt;
+    slot.context = context;
+    this.put(chunk, slot);
+    this.touch(chunk);
+  }
+
+  requeue(chunk: Chunk, slot: Slot): void {
+    this.leave(chunk, slot);
+    slot.state = 'pending';
+    slot.pendingSince = this.clock.now();
+    chunk.waiting.add(slot);
+    this.waiting.add(chunk);
+    this.touch(chunk);
+  }
+
+  finish(chunk: Chunk, slot: Slot): void {
+    this.leave(chunk, slot);
+    slot.state = 'done';
+    this.touch(chunk);
+  }
+
+  /** Gives a waiting task back to the leader. */
+  giveBack(chunk: Chunk, slot: Slot): void {
+    this.leave(chunk, slot);
+    chunk.slots.delete(slot.index);
+    this.touch(chunk);
+  }
+
+  private leave(chunk: Chunk, slot: Slot): void {
+    if (slot.state === 'live') this.lift(chunk, slot);
+    chunk.waiting.delete(slot);
+    if (chunk.waiting.size === 0) this.waiting.delete(chunk);
+    slot.machine = '';
+    slot.runningAt = null;
+    slot.halting = false;
+    slot.startSent = false;
+    slot.stopSent = false;
+    slot.context = null;
+  }
+
+  /** The chunk's record as it is now. */
+  write(chunk: Chunk): ChunkRecord {
+    const live: ChunkRecord['live'] = {};
+    const done: number[] = [];
+    for (const slot of chunk.slots.values()) {
+      if (slot.state === 'live') live[String(slot.index)] = [slot.machine, slot.attempt];
+      else if (slot.state === 'done') done.push(slot.index);
+    }
+    return {
+      ...chunk.stored,
+      ids: writeRanges(chunk.slots.keys()),
+      done: writeRanges(done),
+      live,
+    };
+  }
+
+  counts(): { placed: number; waiting: number } {
+    let placed = 0;
+    let waiting = 0;
+    for (const chunk of this.chunks.values()) {
+      placed += chunk.placed;
+      waiting += chunk.waiting.size;
+    }
+    return { placed, waiting };
+  }
+}
+
+const NONE: ReadonlyMap<Slot, Chunk> = new Map();
--- a/src/transport/budget.ts
+++ b/src/transport/budget.ts
@@ -7,7 +7,7 @@
 
   constructor(
     private readonly clock: Clock,
-    private readonly perSecond: number,
+    private perSecond: number,
     private readonly burst: number,
   ) {
     this.level = burst;
@@ -20,6 +20,11 @@
     this.at = now;
   }
 
+  setRate(perSecond: number): void {
+    this.refill();
+    this.perSecond = perSecond;
+  }
+
   /** Takes what must go out at once, borrowing from later requests. */
   force(cost: number): void {
     this.refill();
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -109,6 +109,67 @@
       await world.run(30);
     },
   },
+  {
+    name: 'a machine that is heard but does not hear',
+    trouble: async (world) => {
+      const [first] = world.workers.values();
+      if (first) first.deaf = true;
+      await world.run(80);
+      if (first) first.deaf = false;
+      await world.run(20);
+    },
+  },
+  {
+    name: 'copies of reports that come late, also after machines died and nodes restarted',
+    trouble: async (world) => {
+      for (const worker of world.workers.values()) worker.copyAfterMs = [3000, 17_000, 41_000];
+      await world.run(20);
+      const [first] = world.workers.values();
+      first?.die();
+      world.kill('n0');
+      await world.run(1);
+      world.boot('n0');
+      await world.run(60);
+      for (const worker of world.workers.values()) worker.copyAfterMs = [];
+    },
+  },
+  {
+    name: 'a node with its workers but without state service and peers',
+    trouble: async (world) => {
+      world.state.refused.add('n0');
+      for (const [peer] of world.members) if (peer !== 'n0') world.cuts.add(`n0>${peer}`);
+      await world.run(70);
+      world.state.refused.clear();
+      world.cuts.clear();
+      await world.run(10);
+    },
+  },
+  {
+    name: 'machines back at once that count anew',
+    trouble: async (world) => {
+      await world.run(10);
+      for (const worker of [...world.workers.values()].slice(0, 2)) worker.restart();
+      await world.run(40);
+    },
+  },
+  {
+    name: 'nodes back at once in the middle of an election, with late transactions',
+    trouble: async (world) => {
+      world.state.late.set('n0', 4000);
+      world.kill('n2');
+      await world.run(6.5);
+      for (let turn = 0; turn < 4; turn++) {
+        for (const [name] of world.members) {
+          world.state.late.set(name, 3000);
+          world.kill(name);
+          await world.run(0.2);
+          world.boot(name);
+        }
+        await world.run(0.7);
+      }
+      await world.run(20);
+    },
+  },
 ];
 
 for (const { name, trouble } of CASES) {
--- /dev/null
+++ b/test/world/lone.ts
@@ -0,0 +1,152 @@
+import { Committer } from '../../src/bookkeeping/committer.js';
+import { Gate } from '../../src/bookkeeping/gate.js';
+import { CATALOG, chunkKey, jobKey, roleKey } from '../../src/bookkeeping/keys.js';
+import type { ChunkRecord, JobRecord } from '../../src/bookkeeping/records.js';
+import { View } from '../../src/bookkeeping/view.js';
+import { Part } from '../../src/coordination/part.js';
+import { TOKEN_STEP } from '../../src/constants.js';
+import type { Command, JobSpec, TaskReport, WorkerReport } from '../../src/protocol/terms.js';
+import { SimClock } from './clock.js';
+import { SimState } from './state.js';
+import { TYPES, silent } from './world.js';
+
+export const JOB = 'j-000001';
+const TERM = 5;
+export const TOKEN = TERM * TOKEN_STEP;
+
+export const SPEC: JobSpec = {
+  id: JOB,
+  class: 'work',
+  team: 'red',
+  kind: 'array',
+  priority: 'normal',
+  tasks: 1,
+  cpus: 1,
+  gpus: 0,
+  memoryGb: 1,
+  image: 'img',
+  imageGb: 1,
+  types: null,
+  zone: null,
+  oneZone: false,
+  spread: false,
+  spot: false,
+  estimateS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+};
+
+/** One part on its own, with its state service; `placed`: a former owner placed its task. */
+export async function lone(
+  options: { placed?: boolean; spec?: Partial<JobSpec>; zone?: string } = {},
+) {
+  const clock = new SimClock();
+  const state = new SimState(clock);
+  const chunk: ChunkRecord = {
+    ids: '0',
+    done: '',
+    live: options.placed ? { '0': ['m-1', 77] } : {},
+    team: 'red',
+    cpus: 1,
+    gpus: 0,
+    memoryGb: 1,
+    zone: options.zone ?? 'a',
+  };
+  const job: JobRecord = { spec: { ...SPEC, ...options.spec }, at: clock.wall() };
+  state.change([
+    { key: roleKey('part-p'), value: { owner: 'p' } },
+    { key: CATALOG, value: TYPES },
+    { key: jobKey(JOB), value: job },
+    { key: chunkKey('p', JOB, 1), value: chunk },
+  ]);
+  const api = state.api('p');
+  const gate = new Gate(clock, 100, 100, 8);
+  const view = new View(api, gate, clock, silent, () => 0.5);
+  void view.follow();
+  await clock.run(500);
+  const sent: { commands: Command[]; fail: () => void; done: (report: WorkerReport) => void }[] =
+    [];
+  const part = new Part(
+    {
+      part: 'p',
+      number: 0,
+      term: TERM,
+      roleKey: roleKey('part-p'),
+      roleMark: view.markOf(roleKey('part-p')),
+      fenceAt: 60_000,
+      leaseS: 24,
+      reportS: 3,
+      txnOps: 8,
+      valueBytes: 8192,
+      alpha: 2,
+      penalty: 2,
+      snapshotMs: 1e9,
+      startWithinS: {},
+      alive: () => true,
+      written: () => undefined,
+    },
+    view,
+    new Committer(api, gate, view, clock, silent, () => 0.5),
+    {
+      command: (_address, _token, _session, commands) =>
+        new Promise((resolve, reject) => {
+          sent.push({
+            commands,
+            fail: () => reject(new Error('no answer')),
+            done: (report) => resolve({ executed: true, report }),
+          });
+        }),
+    },
+    clock,
+    silent,
+    () => undefined,
+  );
+  view.onChange((keys) => keys.forEach((key) => part.changed(key)));
+  let seq = 0;
+  const answer = (change: Partial<WorkerReport> = {}, tasks: TaskReport[] = []) =>
+    part.handleReport({
+      machine: 'm-1',
+      address: '10.0.0.1:9',
+      type: 'small',
+      zone: 'a',
+      spot: false,
+      session: 1,
+      seq: ++seq,
+      token: TOKEN,
+      noticeS: null,
+      tasks,
+      ...change,
+    });
+  const report = (change: Partial<WorkerReport> = {}, tasks: TaskReport[] = []): Command[] => {
+    const given = answer(change, tasks);
+    return given.ok ? given.commands : [];
+  };
+  /** Rounds for so long: ends of tasks gather for a second before they are written. */
+  const round = async (ms = 1500): Promise<void> => {
+    for (let at = 0; at < ms; at += 250) {
+      void part.round();
+      await clock.run(clock.now() + 250);
+    }
+  };
+  const stored = (): ChunkRecord | undefined =>
+    state.cells.get(chunkKey('p', JOB, 1))?.value as ChunkRecord | undefined;
+  const cancel = async (): Promise<void> => {
+    state.change([{ key: jobKey(JOB), remove: true }]);
+    await clock.run(clock.now() + 300);
+  };
+  return { clock, state, part, answer, report, round, stored, cancel, sent };
+}
+
+export const running = (attempt: number): TaskReport => ({
+  task: { job: JOB, index: 0 },
+  attempt,
+  state: 'running',
+  cause: null,
+});
+export const ended = (attempt: number): TaskReport => ({
+  ...running(attempt),
+  state: 'exited',
+  cause: 'done',
+});
+export const ops = (commands: Command[]): string[] => commands.map((command) => command.op);
--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -27,6 +27,10 @@
   outage = false;
   /** These nodes get 503. */
   readonly refused = new Set<string>();
+  /** Requests and writes a second that are served, with bursts of one second's worth. */
+  limits: { rps: number; writeRps: number } | null = null;
+  private readonly levels = { at: 0, requests: 0, writes: 0 };
+  refusals = 0;
   /** The next transactions of these nodes are carried out this much later, unanswered. */
   readonly late = new Map<string, number>();
 
@@ -73,12 +77,30 @@
     return { ok: true, revision: this.revision };
   }
 
+  private withinLimits(writes: number): boolean {
+    if (!this.limits) return true;
+    const { rps, writeRps } = this.limits;
+    const { levels } = this;
+    const passed = (this.clock.now() - levels.at) / 1000;
+    levels.at = this.clock.now();
+    levels.requests = Math.min(rps, levels.requests + passed * rps);
+    levels.writes = Math.min(writeRps, levels.writes + passed * writeRps);
+    if (levels.requests < 1 || (writes > 0 && levels.writes < Math.min(writes, writeRps))) {
+      this.refusals++;
+      return false;
+    }
+    levels.requests--;
+    levels.writes -= writes;
+    return true;
+  }
+
   /** The service as one node reaches it. */
   api(node: string): StateApi {
     const { clock } = this;
-    const served = async (): Promise<void> => {
+    const served = async (writes = 0): Promise<void> => {
       await new Promise<void>((resolve) => clock.after(5, resolve));
       if (this.outage || this.refused.has(node)) throw new Refused(503);
+      if (!this.withinLimits(writes)) throw new Refused(429);
     };
     return {
       get: async (key) => {
@@ -95,7 +117,7 @@
         return { entries, more: false, revision: this.revision };
       },
       txn: async (guards, changes) => {
-        await served();
+        await served(changes.length);
         const delay = this.late.get(node);
         if (delay !== undefined && changes.length > 0) {
           this.late.delete(node);
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -26,6 +26,10 @@
   holdDirectMs = 0;
   /** Reports sent from now on are held back this long, and their answers are lost. */
   holdReportsMs = 0;
+  /** Its reports arrive, but answers and commands do not reach it. */
+  deaf = false;
+  /** Copies of its reports come once more so much later, at any node. */
+  copyAfterMs: number[] = [];
   private reporting = false;
 
   constructor(
@@ -43,6 +47,15 @@
     this.tick();
   }
 
+  /** The machine is back at once, without memory of sessions, tokens and tasks. */
+  restart(): void {
+    this.tasks.clear();
+    this.session = 1;
+    this.seq = 0;
+    this.token = 0;
+    this.renewedAt = this.world.clock.now();
+  }
+
   die(): void {
     this.dead = true;
     this.tasks.clear();
@@ -110,12 +123,17 @@
     const held = this.holdReportsMs;
     const entry = world.nodes.get(name);
     const reach = entry !== undefined && !world.cut(name, this.machine.name);
+    for (const later of this.copyAfterMs) {
+      const [copyTo = ''] = world.members[world.chance(world.members.length)] ?? [];
+      world.clock.after(later, () => void world.nodes.get(copyTo)?.node.report(body));
+    }
     const answer = new Promise<{ status: number; body: unknown } | null>((resolve) => {
       world.clock.after(4000, () => resolve(null));
       if (!reach || !entry) return;
       world.clock.after(1 + held, () => {
         void entry.node.report(body).then((reply) => {
-          if (!world.cut(name, this.machine.name)) world.clock.after(1, () => resolve(reply));
+          if (!world.cut(name, this.machine.name) && !this.deaf)
+            world.clock.after(1, () => resolve(reply));
         });
       });
     });
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -216,7 +216,7 @@
     return new Promise((resolve, reject) => {
       const machine = [...this.rented.values()].find((one) => one.address === address);
       const worker = machine ? this.workers.get(machine.name) : undefined;
-      const cut = !worker || this.cut(node, worker.machine.name);
+      const cut = !worker || worker.deaf || this.cut(node, worker.machine.name);
       const held = worker?.holdDirectMs ?? 0;
       const { calls } = encodeDirect(token, session, commands) as { calls: never[] };
       this.clock.after(2000, () => reject(new NoAnswer('timed out')));
