A chunk on more machines than a transaction may guard is written in pieces

Ruled out: conflicts with drains. Change: such a chunk is written in pieces; transactions are bounded by bytes too.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -94,6 +94,8 @@
 
 /** Bytes that one placed task may take in its chunk's record; bounds the tasks of a chunk. */
 export const CHUNK_TASK_BYTES = 56;
+/** Bytes that a chunk's record takes beside its placed tasks. */
+export const CHUNK_BYTES = 600;
 /** Submissions waiting for their commit in one node; more are told to come back. */
 export const SUBMIT_QUEUE = 256;
 /** Polls and checks waiting in one node; more are told to come back. */
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -1,4 +1,6 @@
 import {
+  CHUNK_BYTES,
+  CHUNK_TASK_BYTES,
   COMMANDS_MAX,
   DONE_GATHER_MS,
   FAILURE_PAUSE_MAX_S,
@@ -11,6 +13,7 @@
   STATUS_SHARD,
   SWEEP_MS,
   TOKEN_STEP,
+  TXN_BYTES,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import {
@@ -538,21 +541,25 @@
       const changes: Change[] = [];
       const written: Written[] = [];
       const machines = new Set<string>();
+      let bytes = 0;
       for (const chunk of left) {
         if (changes.length >= this.options.txnOps) break;
-        const record = this.over(chunk) ? null : this.tasks.write(chunk);
-        // A machine that the leader takes out of use meanwhile gets no new task.
-        const fresh = Object.entries(record?.live ?? {})
-          .filter(([index, [, attempt]]) => chunk.stored.live[index]?.[1] !== attempt)
-          .map(([, [machine]]) => machine);
+        bytes += CHUNK_BYTES + chunk.placed * CHUNK_TASK_BYTES;
+        if (bytes > TXN_BYTES && changes.length > 0) break;
+        // A machine that the leader takes out of use meanwhile gets no new task: each is guarded,
+        // and a transaction holds only so many guards. A chunk with more goes out in pieces: all
+        // in one would be refused, again and again.
+        const fresh = this.over(chunk) ? new Set<string>() : this.tasks.fresh(chunk);
         const all = new Set([...machines, ...fresh]);
         const room = this.options.txnOps * (GUARDS_PER_OP - 1) - 1;
         if (all.size > room && changes.length > 0) break;
-        for (const machine of fresh) machines.add(machine);
+        const now = new Set([...fresh].slice(0, room));
+        const record = this.over(chunk) ? null : this.tasks.write(chunk, now);
+        for (const machine of now) machines.add(machine);
         guards.push({ key: chunk.key, mark: this.view.markOf(chunk.key) });
         changes.push(record ? { key: chunk.key, value: record } : { key: chunk.key, remove: true });
         written.push({ chunk, record });
-        this.tasks.clean(chunk);
+        if (now.size === fresh.size) this.tasks.clean(chunk);
       }
       for (const machine of machines) {
         const key = machineKey(machine);
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -235,11 +235,23 @@
     slot.context = null;
   }
 
-  /** The chunk's record as it is now. */
-  write(chunk: Chunk): ChunkRecord {
+  /** Machines with placements of this chunk that are not committed yet. */
+  fresh(chunk: Chunk): Set<string> {
+    const machines = new Set<string>();
+    for (const slot of chunk.slots.values()) {
+      if (slot.state === 'live' && !this.committed(chunk, slot)) machines.add(slot.machine);
+    }
+    return machines;
+  }
+
+  /** The chunk's record as it is now; new placements only on the machines that are named. */
+  write(chunk: Chunk, fresh: ReadonlySet<string>): ChunkRecord {
     const live: ChunkRecord['live'] = {};
     const done: number[] = [];
     for (const slot of chunk.slots.values()) {
+      if (slot.state === 'live' && !this.committed(chunk, slot) && !fresh.has(slot.machine)) {
+        continue;
+      }
       if (slot.state === 'live') live[String(slot.index)] = [slot.machine, slot.attempt];
       else if (slot.state === 'done') done.push(slot.index);
     }
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -3,7 +3,7 @@
 import { chunkKey, jobKey, roleKey } from '../src/bookkeeping/keys.js';
 import type { JobRecord } from '../src/bookkeeping/records.js';
 import type { Command, WorkerReport } from '../src/protocol/terms.js';
-import { SPEC, TOKEN, ended, lone, ops, running } from './world/lone.js';
+import { JOB, SPEC, TOKEN, ended, lone, ops, running } from './world/lone.js';
 
 test('a start goes out only once its placement is committed', async () => {
   const world = await lone();
@@ -149,3 +149,17 @@
     assert.equal(Object.keys(world.stored()?.live ?? {}).length, placed ? 1 : 0, name);
   }
 });
+
+// Seen on the grown deployments: a chunk placed on more machines than a transaction may guard was
+// refused as malformed, again and again, and none of its tasks ever started.
+test('a chunk on more machines than one transaction can guard is written in pieces', async () => {
+  const world = await lone({ ids: '0-39', spec: { tasks: 40 } });
+  world.state.change([{ key: chunkKey('p', JOB, 1), remove: true }]);
+  await world.clock.run(world.clock.now() + 300);
+  const record = { ids: '0-39', done: '', live: {}, team: 'red', gpus: 0, memoryGb: 1, zone: 'a' };
+  world.state.change([{ key: chunkKey('p', JOB, 1), value: { ...record, cpus: 4 } }]);
+  await world.clock.run(world.clock.now() + 300);
+  for (let at = 0; at < 40; at++) world.report({ machine: `m-${100 + at}` });
+  await world.round(3000);
+  assert.equal(Object.keys(world.stored()?.live ?? {}).length, 40);
+});
--- a/test/world/lone.ts
+++ b/test/world/lone.ts
@@ -39,12 +39,12 @@
 
 /** One part on its own, with its state service; `placed`: a former owner placed its task. */
 export async function lone(
-  options: { placed?: boolean; spec?: Partial<JobSpec>; zone?: string } = {},
+  options: { placed?: boolean; spec?: Partial<JobSpec>; zone?: string; ids?: string } = {},
 ) {
   const clock = new SimClock();
   const state = new SimState(clock);
   const chunk: ChunkRecord = {
-    ids: '0',
+    ids: options.ids ?? '0',
     done: '',
     live: options.placed ? { '0': ['m-1', 77] } : {},
     team: 'red',
--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -31,6 +31,8 @@
   limits: { rps: number; writeRps: number } | null = null;
   private readonly levels = { at: 0, requests: 0, writes: 0 };
   refusals = 0;
+  /** Puts and deletes that one transaction may hold, and four times as many guards. */
+  txnOps = 8;
   /** The next transactions of these nodes are carried out this much later, unanswered. */
   readonly late = new Map<string, number>();
 
@@ -118,6 +120,7 @@
       },
       txn: async (guards, changes) => {
         await served(changes.length);
+        if (changes.length > this.txnOps || guards.length > 4 * this.txnOps) throw new Refused(400);
         const delay = this.late.get(node);
         if (delay !== undefined && changes.length > 0) {
           this.late.delete(node);
