Writes gather where they are scarce; late work rents less; status writes spaced

Cause: on the two-zone site the parts wrote 17 to 19 times a second of the 25 that the store takes, so submissions, which come last, waited for seconds (503 after 4.2 s; no outage needed). Late jobs were rented for that no machine rented now could help, and paced jobs counted as without room. Ruled out: checks and watches (45 of 80 requests a second together). Change: a node that writes more than half of its equal share lets ends of tasks wait 2.5 s and placements of lower work 0.5 s for others; work that would be late on a machine rented now is due within 1.5 boots; a node tells every 20 s what it asked of the store.

--- a/src/bookkeeping/gate.ts
+++ b/src/bookkeeping/gate.ts
@@ -1,9 +1,9 @@
-import { STATE_FLOOR, STATE_GROWTH, STATE_LIMIT, STATE_YIELD } from '../constants.js';
+import { STATE_FLOOR, STATE_GROWTH, STATE_LIMIT, STATE_SCARCE, STATE_YIELD } from '../constants.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
 
 /** Kinds of work in the order in which they get the state service's limited requests. */
-const ORDER = ['watch', 'role', 'part', 'leader', 'check', 'submit'] as const;
+const ORDER = ['watch', 'role', 'part', 'leader', 'status', 'check', 'submit'] as const;
 export type Purpose = (typeof ORDER)[number];
 
 /**
@@ -13,6 +13,7 @@
  */
 class Share {
   readonly budget: Budget;
+  private readonly fair: Budget;
   private rate: number;
   private readonly floor: number;
   private grownAt: number;
@@ -27,6 +28,16 @@
     this.floor = this.rate * STATE_FLOOR;
     this.grownAt = clock.now();
     this.budget = new Budget(clock, this.rate, Math.max(this.rate, burst));
+    this.fair = new Budget(clock, this.rate * STATE_SCARCE, this.rate);
+  }
+
+  /** More was used lately than half of an equal share. */
+  get scarce(): boolean {
+    return this.fair.left < 0;
+  }
+
+  use(cost: number): void {
+    this.fair.force(cost);
   }
 
   /** Work waits for this limit: time to try for more. */
@@ -86,6 +97,11 @@
     });
   }
 
+  /** Little is left of this node's writes: what can wait for others should. */
+  get scarce(): boolean {
+    return this.writes.scarce;
+  }
+
   /** The state service answered 429 to a request with so many writes. */
   refused(cost: number): void {
     this.refusals++;
@@ -94,6 +110,7 @@
   }
 
   private count(purpose: Purpose, cost: number): void {
+    this.writes.use(cost);
     const counts = this.passed.get(purpose) ?? { requests: 0, writes: 0 };
     counts.requests++;
     counts.writes += cost;
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -62,17 +62,21 @@
 export const LOOP_MS = 300;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
 export const LOOP_GATHER_MS = 20;
-/** ms; placements of lower work wait this long for others: a hundredth of a short task. */
-export const PLACE_GATHER_MS = 250;
-/** ms; ends of tasks wait this long for others of their chunk: users expect `done` within 3 s. */
-export const DONE_GATHER_MS = 1_000;
+/** ms; placements of lower work wait this long for others: a fiftieth of a short task where writes
+ * are scarce, hardly at all where they are not. */
+export const PLACE_GATHER_MS = { plenty: 60, scarce: 500 };
+/** ms; ends of tasks wait this long for others of their chunk. The last ends of a chunk wait only as
+ * long as placements: users expect `done` within 3 s. */
+export const DONE_GATHER_MS = { plenty: 300, scarce: 2_500 };
 /** ms; a part looks this often for machines that are dead or gone. */
 export const SWEEP_MS = 250;
 /** ms; a part writes what became of its machines this often at the most. */
-export const STATUS_PACE_MS = 700;
+export const STATUS_PACE_MS = { plenty: 500, scarce: 2_000 };
 /** Times its own processor time that a woken round rests, so that a large fleet's rounds leave most
  * of a slow processor to reports and answers. */
 export const LOOP_REST = 4;
+/** ms; a node logs this often what it asked of the state service. */
+export const USE_LOG_MS = 20_000;
 /** ms; submissions that come within this time share a transaction; checks too, at the least. */
 export const GROUP_COMMIT_MS = 15;
 /** ms; a poll may wait this long for its check before it is answered 503 (users wait 2 s). */
@@ -114,6 +118,8 @@
 export const STATE_LIMIT = 0.8;
 /** Share of a limit by which a node's part of it grows in a second in which work waits. */
 export const STATE_GROWTH = 0.1;
+/** Share of its equal part of the writes above which a node lets changes wait for others to join. */
+export const STATE_SCARCE = 0.5;
 /** What is left of a node's part of a limit after a refusal. */
 export const STATE_YIELD = 0.7;
 /** Share of the state service's requests that all members' watches may take together. */
@@ -181,6 +187,8 @@
 export const DIRECT_TIMEOUT_MS = 2_000;
 /** Owners' estimates are often wrong by half; renting counts on tasks this much longer. */
 export const ESTIMATE_MARGIN = 1.25;
+/** Boot times within which tasks are to be done that a machine rented now can't help in time. */
+export const LATE_BOOTS = 1.5;
 /** s; what a running task is taken to have left when the fleet's future room is reckoned. */
 export const RUNNING_LEFT_S = 15;
 /** Share of a start aim that the fetch of an image may take; the rest is for deciding and sending. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -6,6 +6,7 @@
   ESTIMATE_MARGIN,
   GONE_KEEP_MS,
   IDLE_KEEP_MOST,
+  LATE_BOOTS,
   NO_CAPACITY_PAUSE_MS,
   PREEMPTIBLE_SHARE,
   RENT_MAX,
@@ -396,7 +397,10 @@
         continue;
       }
       const runS = Math.max(1, spec.estimateS) * ESTIMATE_MARGIN;
-      const slackS = (due(one) - wall) / 1000 - runS;
+      // What would be late even on a machine rented now is no reason to rent at any price: it is to
+      // be done within a few boots from now.
+      const inTimeS = (due(one) - wall) / 1000 - runS;
+      const slackS = Math.max(inTimeS, this.quickestBootS() * LATE_BOOTS);
       const work = count * spec.cpus * runS;
       const inTime = Math.max(0, cpus * slackS - ahead);
       const beyond = Math.min(count, Math.ceil((work - inTime) / (spec.cpus * runS)));
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -176,10 +176,10 @@
  */
 export class Leader {
   private counter = 0;
-  /** Jobs that waited for their team's limit in the last round. */
+  /** Jobs that came to wait for their team's limit: told once of each. */
   private limited = new Set<string>();
-  /** Steady time at which a job last got some of its tasks assigned. */
-  private readonly assignedAt = new Map<string, number>();
+  /** When a job last got some of its tasks assigned, and how many found no room then. */
+  private readonly assigned = new Map<string, { at: number; short: number }>();
   private readonly parts = new Map<string, string>();
   private busy = false;
   /** ms that the last round took, its waiting for the state service aside. */
@@ -298,6 +298,9 @@
 
   private async assign(): Promise<Set<string>> {
     const startedAt = this.clock.now();
+    for (const [job, { at }] of this.assigned) {
+      if (startedAt - at >= ASSIGN_PACE_MS) this.assigned.delete(job);
+    }
     const machines = this.machines();
     for (const name of this.parts.keys()) if (!machines.has(name)) this.parts.delete(name);
     const used = new Map<string, Usage>();
@@ -326,9 +329,10 @@
       );
       // Tasks that end one by one would each bring a chunk of their own: what follows them waits
       // until some have come together.
-      const lately = startedAt - (this.assignedAt.get(job.id) ?? -Infinity) < ASSIGN_PACE_MS;
+      const lately = this.assigned.get(job.id);
       if (allowed > 0 && lately && rankOf(job.spec.priority) < rankOf('high')) {
-        unmet.push({ spec: job.spec, count: allowed, at: job.at });
+        const count = Math.min(allowed, lately.short);
+        if (count > 0) unmet.push({ spec: job.spec, count, at: job.at });
         continue;
       }
       if (allowed <= 0) {
@@ -344,13 +348,11 @@
       const { given, roomless } = this.spreadOut(job, allowed, byPart, queues, changes);
       use.cpus += job.spec.cpus * given;
       use.gpus += job.spec.gpus * given;
-      if (given > 0) this.assignedAt.set(job.id, startedAt);
       const short = allowed - given + roomless;
+      if (given > 0) this.assigned.set(job.id, { at: startedAt, short: allowed - given });
       if (short > 0) unmet.push({ spec: job.spec, count: short, at: job.at });
     }
-    for (const [job, at] of this.assignedAt) {
-      if (startedAt - at > ASSIGN_PACE_MS) this.assignedAt.delete(job);
-    }
+    for (const job of this.limited) if (this.view.get(jobKey(job))) limited.add(job);
     this.limited = limited;
     this.picture = { machines: [...machines.values()], unmet };
     this.costMs = this.clock.now() - startedAt;
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -18,6 +18,7 @@
   RETRY_AFTER_S,
   STATE_SOCKETS,
   STATE_TIMEOUT_MS,
+  USE_LOG_MS,
   WATCH_GRACE_SHARE,
   WATCH_HOLD_MS,
   WATCH_SHARE,
@@ -86,6 +87,7 @@
   private readonly redirected = new Map<string, number>();
   private readonly relays = new Map<number, (reply: HttpReply) => void>();
   private relayCount = 0;
+  private toldAt = -Infinity;
   private stopped = false;
   private readonly gate: Gate;
   private readonly rolesLoop: Loop;
@@ -306,6 +308,7 @@
           startWithinS: settings.startWithinS,
           snapshotMs: settings.placement.snapshotS * 1000,
           alive: () => this.roles.owned(role)?.term === owned.term,
+          scarce: () => this.gate.scarce,
           written: () => this.tellOwner(LEADER),
         },
         this.view,
@@ -367,7 +370,17 @@
     }
   }
 
+  /** Tells now and then what was asked of the state service, by purpose. */
+  private tellUse(): void {
+    const now = this.outside.clock.now();
+    if (now - this.toldAt < USE_LOG_MS) return;
+    this.toldAt = now;
+    const { passed, refusals } = this.gate;
+    this.log.info({ ...Object.fromEntries(passed), refusals }, 'requests to the state service');
+  }
+
   private async partsRound(): Promise<void> {
+    this.tellUse();
     for (const part of [...this.parts.values()]) await part.round();
     const now = this.outside.clock.now();
     for (const [machine, at] of this.redirected) {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -63,6 +63,8 @@
   startWithinS: Readonly<Record<string, number>>;
   /** Still the owner, as far as the view knows. */
   alive: () => boolean;
+  /** The state service takes few more writes: those that can wait should come together. */
+  scarce: () => boolean;
   /** Something was written that the leader waits for. */
   written: () => void;
 }
@@ -197,7 +199,7 @@
     if (worth === 'older') return worth;
     const now = this.clock.now();
     if (worth === 'newSession' || machine.proven !== wasProven) {
-      this.log.info(
+      this.log.debug(
         { machine: machine.name, session: machine.session, hears: machine.proven },
         worth === 'newSession' ? 'machine began a new session' : 'machine hears us or does not',
       );
@@ -508,7 +510,8 @@
   private due(chunk: Chunk, now: number): boolean {
     if (this.over(chunk)) return true;
     const age = now - (chunk.dirtySince ?? now);
-    if (age >= DONE_GATHER_MS) return true;
+    const supply = this.options.scarce() ? 'scarce' : 'plenty';
+    if (age >= DONE_GATHER_MS[supply]) return true;
     let starts = false;
     let open = chunk.waiting.size > 0;
     for (const slot of chunk.slots.values()) {
@@ -519,7 +522,7 @@
     if (!starts && open) return false;
     const spec = this.spec(chunk.job);
     const urgent = spec !== null && rankOf(spec.priority) >= rankOf('high');
-    return urgent || age >= PLACE_GATHER_MS;
+    return urgent || age >= PLACE_GATHER_MS[supply];
   }
 
   /** The chunks that the next transaction takes. */
@@ -591,7 +594,8 @@
 
   private async writeStatus(): Promise<void> {
     const now = this.clock.now();
-    if (now - this.statusAt < STATUS_PACE_MS) return;
+    const pace = STATUS_PACE_MS[this.options.scarce() ? 'scarce' : 'plenty'];
+    if (now - this.statusAt < pace) return;
     this.statusAt = now;
     const names = [...this.machines.all.keys()].sort();
     const shards = Math.max(1, Math.ceil(names.length / STATUS_SHARD));
@@ -612,7 +616,7 @@
         { key, mark: this.view.markOf(key) },
       ];
       const result = await this.committer.commit(
-        'part',
+        'status',
         guards,
         [{ key, value }],
         this.options.alive,
--- a/src/transport/budget.ts
+++ b/src/transport/budget.ts
@@ -8,7 +8,7 @@
   constructor(
     private readonly clock: Clock,
     private perSecond: number,
-    private readonly burst: number,
+    readonly burst: number,
   ) {
     this.level = burst;
     this.at = clock.now();
@@ -20,6 +20,11 @@
     this.at = now;
   }
 
+  get left(): number {
+    this.refill();
+    return this.level;
+  }
+
   setRate(perSecond: number): void {
     this.refill();
     this.perSecond = perSecond;
