--- a/src/bookkeeping/gate.ts
+++ b/src/bookkeeping/gate.ts
@@ -1,11 +1,21 @@
-import { STATE_FLOOR, STATE_GROWTH, STATE_LIMIT, STATE_SCARCE, STATE_YIELD } from '../constants.js';
+import {
+  STATE_FLOOR,
+  STATE_GROWTH,
+  STATE_LIMIT,
+  STATE_SCARCE,
+  STATE_SHORT,
+  STATE_YIELD,
+} from '../constants.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
 
 /** Kinds of work in the order in which they get the state service's limited requests. */
-const ORDER = ['watch', 'role', 'part', 'leader', 'status', 'check', 'submit'] as const;
+const ORDER = ['watch', 'role', 'urgent', 'part', 'leader', 'status', 'check', 'submit'] as const;
 export type Purpose = (typeof ORDER)[number];
 
+/** How far writes reach: below half of an equal share, below most of it, or above. */
+export type Supply = 'plenty' | 'scarce' | 'short';
+
 /**
  * One of the state service's limits as this node uses it. All members together must stay below it,
  * but what some leave unused should serve those that need it: each begins with its equal share,
@@ -14,6 +24,7 @@
 class Share {
   readonly budget: Budget;
   private readonly fair: Budget;
+  private readonly equal: Budget;
   private rate: number;
   private readonly floor: number;
   private grownAt: number;
@@ -29,15 +40,17 @@
     this.grownAt = clock.now();
     this.budget = new Budget(clock, this.rate, Math.max(this.rate, burst));
     this.fair = new Budget(clock, this.rate * STATE_SCARCE, this.rate);
+    this.equal = new Budget(clock, this.rate * STATE_SHORT, this.rate);
   }
 
-  /** More was used lately than half of an equal share. */
-  get scarce(): boolean {
-    return this.fair.left < 0;
+  get supply(): Supply {
+    if (this.equal.left < 0) return 'short';
+    return this.fair.left < 0 ? 'scarce' : 'plenty';
   }
 
   use(cost: number): void {
     this.fair.force(cost);
+    this.equal.force(cost);
   }
 
   /** Work waits for this limit: time to try for more. */
@@ -97,9 +110,14 @@
     });
   }
 
-  /** Little is left of this node's writes: what can wait for others should. */
-  get scarce(): boolean {
-    return this.writes.scarce;
+  /** What this node wrote lately against its equal share: what can wait for others should. */
+  get supply(): Supply {
+    return this.writes.supply;
+  }
+
+  /** Whether so many writes would pass at once. */
+  hasRoom(cost: number): boolean {
+    return this.writes.budget.waitFor(cost) === 0 && this.requests.budget.waitFor(1) === 0;
   }
 
   /** The state service answered 429 to a request with so many writes. */
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -64,14 +64,17 @@
 export const LOOP_GATHER_MS = 20;
 /** ms; placements of lower work wait this long for others: a fiftieth of a short task where writes
  * are scarce, hardly at all where they are not. */
-export const PLACE_GATHER_MS = { plenty: 60, scarce: 500 };
+export const PLACE_GATHER_MS = { plenty: 60, scarce: 500, short: 1_200 };
 /** ms; ends of tasks wait this long for others of their chunk. The last ends of a chunk wait only as
  * long as placements: users expect `done` within 3 s. */
-export const DONE_GATHER_MS = { plenty: 300, scarce: 2_500 };
+export const DONE_GATHER_MS = { plenty: 300, scarce: 2_500, short: 5_000 };
+/** ms; changes of lower work older than this queue for the store's limits like all others; younger
+ * ones give way to urgent work. */
+export const YIELD_MS = 3_000;
 /** ms; a part looks this often for machines that are dead or gone. */
 export const SWEEP_MS = 250;
 /** ms; a part writes what became of its machines this often at the most. */
-export const STATUS_PACE_MS = { plenty: 500, scarce: 2_000 };
+export const STATUS_PACE_MS = { plenty: 500, scarce: 2_000, short: 3_000 };
 /** Times its own processor time that a woken round rests, so that a large fleet's rounds leave most
  * of a slow processor to reports and answers. */
 export const LOOP_REST = 4;
@@ -120,6 +123,8 @@
 export const STATE_GROWTH = 0.1;
 /** Share of its equal part of the writes above which a node lets changes wait for others to join. */
 export const STATE_SCARCE = 0.5;
+/** Share of it above which they wait longest. */
+export const STATE_SHORT = 0.85;
 /** What is left of a node's part of a limit after a refusal. */
 export const STATE_YIELD = 0.7;
 /** Share of the state service's requests that all members' watches may take together. */
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -311,6 +311,7 @@
     const reserved = this.reserves();
     const limited = new Set<string>();
     const changes: { key: string; value: ChunkRecord }[] = [];
+    const urgentKeys = new Set<string>();
     for (const job of open) {
       if (job.unassigned === 0) continue;
       const team = this.options.teams.find((one) => one.name === job.spec.team);
@@ -345,7 +346,11 @@
         limited.add(job.id);
         continue;
       }
+      const before = changes.length;
       const { given, roomless } = this.spreadOut(job, allowed, byPart, queues, changes);
+      if (rankOf(job.spec.priority) >= rankOf('high')) {
+        for (const { key } of changes.slice(before)) urgentKeys.add(key);
+      }
       use.cpus += job.spec.cpus * given;
       use.gpus += job.spec.gpus * given;
       const short = allowed - given + roomless;
@@ -368,7 +373,9 @@
           guards.push({ key: jobKey(job), mark: this.view.markOf(jobKey(job)) });
         }
       }
-      const result = await this.committer.commit('leader', guards, group, this.options.alive);
+      const urgent = group.some((one) => urgentKeys.has(one.key));
+      const purpose = urgent ? 'urgent' : 'leader';
+      const result = await this.committer.commit(purpose, guards, group, this.options.alive);
       this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
       if (result.kind !== 'done') break;
       for (const one of group) parts.add(one.key.split('/').at(-3) ?? '');
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -308,7 +308,7 @@
           startWithinS: settings.startWithinS,
           snapshotMs: settings.placement.snapshotS * 1000,
           alive: () => this.roles.owned(role)?.term === owned.term,
-          scarce: () => this.gate.scarce,
+          gate: this.gate,
           written: () => this.tellOwner(LEADER),
         },
         this.view,
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -14,6 +14,7 @@
   SWEEP_MS,
   TOKEN_STEP,
   TXN_BYTES,
+  YIELD_MS,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import {
@@ -26,6 +27,7 @@
   machineKey,
   statusKey,
 } from '../bookkeeping/keys.js';
+import type { Gate } from '../bookkeeping/gate.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { ChunkRecord, JobRecord, StatusRecord } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
@@ -63,8 +65,8 @@
   startWithinS: Readonly<Record<string, number>>;
   /** Still the owner, as far as the view knows. */
   alive: () => boolean;
-  /** The state service takes few more writes: those that can wait should come together. */
-  scarce: () => boolean;
+  /** How far this node's writes to the state service reach. */
+  gate: Pick<Gate, 'supply' | 'hasRoom'>;
   /** Something was written that the leader waits for. */
   written: () => void;
 }
@@ -510,7 +512,7 @@
   private due(chunk: Chunk, now: number): boolean {
     if (this.over(chunk)) return true;
     const age = now - (chunk.dirtySince ?? now);
-    const supply = this.options.scarce() ? 'scarce' : 'plenty';
+    const supply = this.options.gate.supply;
     if (age >= DONE_GATHER_MS[supply]) return true;
     let starts = false;
     let open = chunk.waiting.size > 0;
@@ -520,9 +522,12 @@
       if (!this.tasks.committed(chunk, slot)) starts = true;
     }
     if (!starts && open) return false;
+    return this.urgent(chunk) || age >= PLACE_GATHER_MS[supply];
+  }
+
+  private urgent(chunk: Chunk): boolean {
     const spec = this.spec(chunk.job);
-    const urgent = spec !== null && rankOf(spec.priority) >= rankOf('high');
-    return urgent || age >= PLACE_GATHER_MS[supply];
+    return spec !== null && rankOf(spec.priority) >= rankOf('high');
   }
 
   /** The chunks that the next transaction takes. */
@@ -531,11 +536,7 @@
     for (const chunk of this.ended) if (this.over(chunk)) this.tasks.touch(chunk);
     const ready: Chunk[] = [];
     for (const chunk of this.tasks.dirty) if (this.due(chunk, now)) ready.push(chunk);
-    const rank = (chunk: Chunk): number => {
-      const spec = this.spec(chunk.job);
-      return spec === null ? -1 : rankOf(spec.priority);
-    };
-    return ready.sort((a, b) => rank(b) - rank(a));
+    return ready.sort((a, b) => Number(this.urgent(b)) - Number(this.urgent(a)));
   }
 
   private async flush(): Promise<void> {
@@ -545,8 +546,14 @@
       const written: Written[] = [];
       const machines = new Set<string>();
       let bytes = 0;
+      // Urgent work shares no transaction with other work, which may have to wait for its turn.
+      const urgent = left[0] !== undefined && this.urgent(left[0]);
+      const now = this.clock.now();
+      const old = left.some((chunk) => now - (chunk.dirtySince ?? now) > YIELD_MS);
+      const most = Math.min(left.length, this.options.txnOps);
+      if (!urgent && !old && !this.options.gate.hasRoom(most)) return;
       for (const chunk of left) {
-        if (changes.length >= this.options.txnOps) break;
+        if (changes.length >= this.options.txnOps || this.urgent(chunk) !== urgent) break;
         bytes += CHUNK_BYTES + chunk.placed * CHUNK_TASK_BYTES;
         if (bytes > TXN_BYTES && changes.length > 0) break;
         // A machine that the leader takes out of use meanwhile gets no new task: each is guarded,
@@ -556,19 +563,20 @@
         const all = new Set([...machines, ...fresh]);
         const room = this.options.txnOps * (GUARDS_PER_OP - 1) - 1;
         if (all.size > room && changes.length > 0) break;
-        const now = new Set([...fresh].slice(0, room));
-        const record = this.over(chunk) ? null : this.tasks.write(chunk, now);
-        for (const machine of now) machines.add(machine);
+        const some = new Set([...fresh].slice(0, room));
+        const record = this.over(chunk) ? null : this.tasks.write(chunk, some);
+        for (const machine of some) machines.add(machine);
         guards.push({ key: chunk.key, mark: this.view.markOf(chunk.key) });
         changes.push(record ? { key: chunk.key, value: record } : { key: chunk.key, remove: true });
         written.push({ chunk, record });
-        if (now.size === fresh.size) this.tasks.clean(chunk);
+        if (some.size === fresh.size) this.tasks.clean(chunk);
       }
       for (const machine of machines) {
         const key = machineKey(machine);
         guards.push({ key, mark: this.view.markOf(key) });
       }
-      const result = await this.committer.commit('part', guards, changes, this.options.alive);
+      const purpose = urgent ? 'urgent' : 'part';
+      const result = await this.committer.commit(purpose, guards, changes, this.options.alive);
       if (!this.options.alive()) return;
       if (result.kind !== 'done') {
         // Nothing of this was written, or another's word is newer: what is stored counts again.
@@ -594,7 +602,7 @@
 
   private async writeStatus(): Promise<void> {
     const now = this.clock.now();
-    const pace = STATUS_PACE_MS[this.options.scarce() ? 'scarce' : 'plenty'];
+    const pace = STATUS_PACE_MS[this.options.gate.supply];
     if (now - this.statusAt < pace) return;
     this.statusAt = now;
     const names = [...this.machines.all.keys()].sort();
--- a/test/world/lone.ts
+++ b/test/world/lone.ts
@@ -84,7 +84,7 @@
       snapshotMs: 1e9,
       startWithinS: {},
       alive: () => true,
-      scarce: () => true,
+      gate: { supply: 'scarce', hasRoom: () => true },
       written: () => undefined,
     },
     view,
