--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -81,6 +81,8 @@
   private checking = false;
   private checkedAt = -Infinity;
   private committing = 0;
+  /** Answers to submissions by status, for whoever watches the program. */
+  readonly answers = new Map<number, number>();
 
   constructor(
     private readonly teams: readonly Team[],
@@ -104,6 +106,12 @@
   // --- Submissions ---------------------------------------------------------------------------
 
   async submit(text: string | null): Promise<HttpReply> {
+    const reply = await this.answerSubmission(text);
+    this.answers.set(reply.status, (this.answers.get(reply.status) ?? 0) + 1);
+    return reply;
+  }
+
+  private async answerSubmission(text: string | null): Promise<HttpReply> {
     const json = parseJson(text);
     if (!json.ok) return { status: 400, body: { error: json.error } };
     const id = submissionId(json.value);
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -376,7 +376,11 @@
     if (now - this.toldAt < USE_LOG_MS) return;
     this.toldAt = now;
     const { passed, refusals } = this.gate;
-    this.log.info({ ...Object.fromEntries(passed), refusals }, 'requests to the state service');
+    const submissions = Object.fromEntries(this.front.answers);
+    this.log.info(
+      { ...Object.fromEntries(passed), refusals, submissions },
+      'requests to the state service',
+    );
   }
 
   private async partsRound(): Promise<void> {
--- a/test/hearing.test.ts
+++ b/test/hearing.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { machineKey } from '../src/bookkeeping/keys.js';
+import { chunkKey, machineKey } from '../src/bookkeeping/keys.js';
 import type { MachineRecord } from '../src/bookkeeping/records.js';
 import { JOB, TOKEN, lone, ops, running } from './world/lone.js';
 
@@ -40,6 +40,18 @@
       assert.equal(placed(world), 'm-2');
     },
   },
+  {
+    name: 'one whose session ended although it was answered gets no work until it shows a new token',
+    check: async (world) => {
+      world.report();
+      world.report({ session: 2 });
+      await world.round();
+      assert.equal(placed(world), undefined);
+      world.report({ session: 2, token: TOKEN + 1 });
+      await world.round();
+      assert.equal(placed(world), 'm-1');
+    },
+  },
   {
     name: 'one that reports for long without hearing is no longer answered, and its tasks move',
     placed: true,
@@ -73,11 +85,18 @@
       world.state.outage = true;
       await world.clock.run(world.clock.now() + 120_000);
       world.state.endOutage();
+      const chunk = { ids: '0', done: '', live: {}, team: 'red', cpus: 1, gpus: 0, memoryGb: 1 };
       await world.round(3000);
       assert.equal(world.part.counts().machines, 0);
-      assert.deepEqual(ops(world.report({ seq: 49 })), []);
+      // What waited was given back meanwhile; the leader assigns it anew.
+      world.state.change([{ key: chunkKey('p', JOB, 1), value: { ...chunk, zone: 'a' } }]);
+      await world.clock.run(world.clock.now() + 300);
+      const copy = world.answer({ seq: 49 });
       await world.round();
       assert.equal(placed(world), undefined);
+      world.report({ seq: 60, token: copy.ok ? copy.token : 0 });
+      await world.round();
+      assert.equal(placed(world), 'm-1');
     },
   },
   {
