Queues are measured by what ends in them; an overdue job passes them

Cause: on the two-zone site an array waited 249 s for its first task, past the 4 minutes: it was first in the order after 120 s, but parts' queues were full of tasks of jobs with shorter estimates, since each job measured the queue by its own estimate. Ruled out: team limits, rooms. Change: the queue's length follows from the estimates of what runs there; an overdue job may always get what ends in the next seconds, and parts take the earliest due first.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -90,7 +90,8 @@
   part: string;
   zone: string;
   waitingCpus: number;
-  lowCpus: number;
+  /** CPUs under lower work that end in a second, by the owners' estimates. */
+  endingCpus: number;
 }
 
 /** What a job still needs of the fleet until its deadline; times in seconds from now. */
@@ -429,20 +430,21 @@
       const group = groups.get(key);
       if (group) group.push(machine);
       else groups.set(key, [machine]);
-      const queue = queues.get(key);
-      if (queue) queue.lowCpus += machine.lowCpus;
-      else {
-        const { part, zone, lowCpus } = machine;
-        queues.set(key, { part, zone, waitingCpus: 0, lowCpus });
-      }
+      const { part, zone } = machine;
+      if (!queues.has(key)) queues.set(key, { part, zone, waitingCpus: 0, endingCpus: 0 });
     }
     // Tasks that wait in a part take room there too, as first fit will give it to them.
     for (const chunk of this.view.chunks().values()) {
       let waiting = chunk.ids.length - chunk.done - chunk.liveCount;
-      const job = waiting === 0 ? null : this.view.get<JobRecord>(jobKey(chunk.job));
+      const job = this.view.get<JobRecord>(jobKey(chunk.job));
       if (!job) continue;
       const { spec, at } = job.value;
       const key = `${chunk.part}\n${chunk.zone}`;
+      const queue = queues.get(key);
+      if (queue && spec.kind === 'array') {
+        queue.endingCpus += (chunk.liveCount * chunk.cpus) / Math.max(1, spec.estimateS);
+      }
+      if (waiting === 0) continue;
       for (const machine of groups.get(key) ?? []) {
         if (waiting === 0) break;
         if (machine.cpus < spec.cpus || !mayUse(spec, machine)) continue;
@@ -451,7 +453,6 @@
         waiting -= count;
       }
       if (waiting === 0) continue;
-      const queue = queues.get(key);
       if (queue) queue.waitingCpus += waiting * spec.cpus;
       unmet.push({ spec, count: waiting, at });
     }
@@ -607,10 +608,10 @@
         });
       }
     };
-    const queued: Queue[] = urgent || spec.kind !== 'array' ? [] : this.shortQueues(spec, queues);
+    const queued: Queue[] = urgent || spec.kind !== 'array' ? [] : this.shortQueues(job, queues);
     const zones = this.zoneRooms(job, allowed, [
       ...rooms.values(),
-      ...queued.map((queue) => ({ zone: queue.zone, count: this.queueRoom(spec, queue) })),
+      ...queued.map((queue) => ({ zone: queue.zone, count: this.queueRoom(job, queue) })),
     ]);
     for (const room of [...rooms.values()].sort((a, b) => b.count - a.count)) {
       const count = Math.min(left, room.count, zones.get(room.zone) ?? 0);
@@ -621,7 +622,7 @@
     }
     const inRoom = allowed - left;
     for (const queue of queued) {
-      const count = Math.min(left, this.queueRoom(spec, queue), zones.get(queue.zone) ?? 0);
+      const count = Math.min(left, this.queueRoom(job, queue), zones.get(queue.zone) ?? 0);
       if (count <= 0) continue;
       zones.set(queue.zone, (zones.get(queue.zone) ?? 0) - count);
       give(queue, count);
@@ -630,19 +631,24 @@
     return { given: allowed - left, roomless: allowed - left - inRoom };
   }
 
-  /** Tasks of a job that a part should have waiting: what ends there in the next seconds. */
-  private queueRoom(spec: JobSpec, queue: Queue): number {
-    const ending = queue.lowCpus * Math.min(1, QUEUE_S / Math.max(1, spec.estimateS));
-    return Math.floor((ending - queue.waitingCpus) / spec.cpus);
+  /**
+   * Tasks of a job that a part should get beyond its room: as many as end there in the next
+   * seconds. A job that is overdue does not wait for the queue: the part takes the earliest first.
+   */
+  private queueRoom(job: Open, queue: Queue): number {
+    const waiting = job.overdue ? 0 : queue.waitingCpus;
+    return Math.floor((queue.endingCpus * QUEUE_S - waiting) / job.spec.cpus);
   }
 
   /** Parts whose queues are short enough to be filled again: seldom, and then with many tasks. */
-  private shortQueues(spec: JobSpec, queues: Map<string, Queue>): Queue[] {
+  private shortQueues(job: Open, queues: Map<string, Queue>): Queue[] {
+    const { spec } = job;
     return [...queues.values()]
       .filter((queue) => {
         if (spec.zone !== null && spec.zone !== queue.zone) return false;
-        const room = this.queueRoom(spec, queue);
-        return room > 0 && queue.waitingCpus <= room * spec.cpus * QUEUE_REFILL;
+        const room = this.queueRoom(job, queue);
+        if (room <= 0) return false;
+        return job.overdue || queue.waitingCpus <= room * spec.cpus * QUEUE_REFILL;
       })
       .sort((a, b) => a.waitingCpus - b.waitingCpus);
   }
