An overdue job gets a few tasks after a minute instead of all after two; renting for what follows

On the one-zone site single services rented small machines at 0.08 a CPU, since the price of a large one was laid on one task. Change: a job of which nothing began for 60 s comes first with a twentieth of its tasks; renting counts on work of the same kind for 2 % of the fleet. Guards that no test needed are out.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -170,8 +170,10 @@
 /** ms; a job of lower work gets more tasks assigned this often at the most, except urgent ones. */
 export const ASSIGN_PACE_MS = 1_000;
 /** s; a job of which nothing has begun for so long comes first: the largest, which step back for
- * others, must begin within 4 minutes, of which a boot and a long task may take one. */
-export const BEGIN_WITHIN_S = 120;
+ * others, must begin within 4 minutes, of which a team at its limit or an outage may take most. */
+export const BEGIN_WITHIN_S = 60;
+/** Share of a job's tasks that come first for that reason; the rest keeps its turn. */
+export const BEGIN_SHARE = 0.05;
 /** Report intervals without a report after which a machine takes no new tasks. */
 export const SILENT_REPORTS = 3;
 /** Machines in one status record: keeps it far below the smallest value limit. */
@@ -194,6 +196,8 @@
 export const DIRECT_TIMEOUT_MS = 2_000;
 /** Owners' estimates are often wrong by half; renting counts on tasks this much longer. */
 export const ESTIMATE_MARGIN = 1.25;
+/** Share of the fleet's CPUs for which more work of the same kind is counted on when renting. */
+export const RENT_AHEAD_SHARE = 0.02;
 /** Boot times within which tasks are to be done that a machine rented now can't help in time. */
 export const LATE_BOOTS = 1.5;
 /** s; what a running task is taken to have left when the fleet's future room is reckoned. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -9,6 +9,7 @@
   LATE_BOOTS,
   NO_CAPACITY_PAUSE_MS,
   PREEMPTIBLE_SHARE,
+  RENT_AHEAD_SHARE,
   RENT_MAX,
   RETURN_MAX,
   RUNNING_LEFT_S,
@@ -108,6 +109,10 @@
     }
   }
 
+  private types(): MachineType[] {
+    return this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+  }
+
   private mayCall(): boolean {
     if (this.budget.waitFor(1) > 0) return false;
     this.budget.spend(1);
@@ -173,9 +178,7 @@
 
   /** Machines that nothing keeps from being returned now. */
   private toReturn(picture: Picture): [string, MachineRecord][] {
-    const types = new Map(
-      (this.view.get<MachineType[]>(CATALOG)?.value ?? []).map((type) => [type.name, type]),
-    );
+    const types = new Map(this.types().map((type) => [type.name, type]));
     const wall = this.clock.wall();
     const busy = new Set<string>();
     for (const chunk of this.view.chunks().values()) {
@@ -273,7 +276,7 @@
   }
 
   private cpuPrice(machine: Slotted): number {
-    const types = this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+    const types = this.types();
     const type = types.find((one) => one.name === machine.type);
     return type ? (machine.spot ? type.spotPrice : type.price) / type.cpus : 0;
   }
@@ -314,7 +317,7 @@
   private offers(): Offer[] {
     const now = this.clock.now();
     const offers: Offer[] = [];
-    for (const type of this.view.get<MachineType[]>(CATALOG)?.value ?? []) {
+    for (const type of this.types()) {
       for (const zone of type.zones) {
         offers.push({ type, zone, spot: false, price: type.price });
         if (this.options.spot) offers.push({ type, zone, spot: true, price: type.spotPrice });
@@ -331,6 +334,11 @@
     const offers = this.offers();
     const wants = new Map<string, { offer: Offer; count: number; rooms: Room[] }>();
     let size = picture.machines.length;
+    // On a large fleet work follows that fills what one task leaves open: there the price of a whole
+    // machine counts, on a small one what this work pays for.
+    const types = new Map(this.types().map((type) => [type.name, type.cpus]));
+    let ahead = 0;
+    for (const one of picture.machines) ahead += (types.get(one.type) ?? 0) * RENT_AHEAD_SHARE;
     for (const { spec, count } of this.beyondFleet(picture, booting)) {
       let left = count;
       const fill = (rooms: Room[]): void => {
@@ -348,7 +356,7 @@
         if (mayUse(spec, { ...want.offer, type: want.offer.type.name })) fill(want.rooms);
       }
       while (left > 0 && size < this.options.maxMachines) {
-        const best = this.cheapest(offers, spec, left);
+        const best = this.cheapest(offers, spec, left + Math.floor(ahead / spec.cpus));
         if (!best) break;
         const key = this.offerKey(best);
         const want = wants.get(key) ?? { offer: best, count: 0, rooms: [] };
@@ -414,7 +422,7 @@
   }
 
   private quickestBootS(): number {
-    const types = this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+    const types = this.types();
     return types.reduce((least, type) => Math.min(least, type.bootS), Infinity);
   }
 
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,6 +1,7 @@
 import {
   AGED_DEADLINES,
   ASSIGN_PACE_MS,
+  BEGIN_SHARE,
   BEGIN_WITHIN_S,
   CHUNK_TASK_BYTES,
   GUARDS_PER_OP,
@@ -326,7 +327,7 @@
         room.cpus -= reserved.get(job.spec.team) ?? 0;
       }
       const allowed = Math.min(
-        job.unassigned,
+        job.overdue ? Math.ceil(job.spec.tasks * BEGIN_SHARE) : job.unassigned,
         howMany(room, { ...need(job.spec, 1), memoryGb: 0 }),
       );
       // Tasks that end one by one would each bring a chunk of their own: what follows them waits
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -188,8 +188,8 @@
     if (!this.machines.mayAnswer(machine)) return { ok: false };
     this.machines.answered(machine, worth);
     const token = this.machines.tokenOf(machine);
-    // What is put into the answer to a late copy is lost: commands go only to who hears us.
-    const commands = worth === 'older' || !machine.proven ? [] : this.commandsFor(machine, true);
+    // What is put into the answer to a late copy is lost: starts go only to who hears us.
+    const commands = worth === 'older' ? [] : this.commandsFor(machine, true);
     return { ok: true, token, commands };
   }
 
@@ -230,10 +230,8 @@
     for (const [slot, chunk] of [...this.tasks.on(machine.name)]) {
       if (listed.has(slot)) continue;
       // Not on the machine, which is proof only where the worker has heard nobody but us, and where
-      // no command sent straight to it is still on its way. Of what we placed ourselves, all that
-      // was sent was meant for a session that is over.
-      const over = worth === 'newSession' && this.placedHere(slot);
-      if ((!machine.ours && !over) || machine.direct?.attempts.has(slot.attempt)) continue;
+      // no command sent straight to it is still on its way.
+      if (!machine.ours || machine.direct?.attempts.has(slot.attempt)) continue;
       slot.startSent = false;
       if (this.spec(chunk.job) === null || !usable || slot.halting) {
         this.tasks.requeue(chunk, slot);
@@ -243,11 +241,6 @@
     return worth;
   }
 
-  /** Whether this owner itself, at this term, made the placement. */
-  private placedHere(slot: Slot): boolean {
-    return Placing.termOf(slot.attempt) === this.options.term;
-  }
-
   /** The placement that a reported task is, if it is one. */
   private match(machine: Machine, one: TaskReport): { chunk: Chunk; slot: Slot } | null {
     const found = this.tasks.find(one.task.job, one.task.index);
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -96,11 +96,6 @@
     return stopped;
   }
 
-  /** The term at which an attempt was made. */
-  static termOf(attempt: number): number {
-    return Math.floor(attempt / ATTEMPT_STEP / ATTEMPT_PARTS);
-  }
-
   private nextAttempt(): number {
     const { term, number } = this.options;
     return (term * ATTEMPT_PARTS + number) * ATTEMPT_STEP + ++this.attempts;
