--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -216,20 +216,24 @@
     this.wake?.();
   }
 
-  /** The pause between two watches: what comes meanwhile shares the next answer. */
-  private async pause(): Promise<void> {
-    const least = this.spacingMs * HURRY_SHARE;
-    await sleep(this.clock, least);
-    if (this.wanted <= this.revision) {
-      await new Promise<void>((resolve) => {
-        const cancel = this.clock.after(this.spacingMs - least, resolve);
-        this.wake = () => {
-          cancel();
-          resolve();
-        };
-      });
-    }
-    this.wake = null;
+  /**
+   * The pause between two watches: what comes meanwhile shares the next answer. A hint cuts it
+   * short, though not below its least part.
+   */
+  private pause(): Promise<void> {
+    return new Promise((resolve) => {
+      const least = this.spacingMs * HURRY_SHARE;
+      const from = this.clock.now();
+      const end = (): void => {
+        this.wake = null;
+        resolve();
+      };
+      let cancel = this.clock.after(this.wanted > this.revision ? least : this.spacingMs, end);
+      this.wake = () => {
+        cancel();
+        cancel = this.clock.after(Math.max(0, least - (this.clock.now() - from)), end);
+      };
+    });
   }
 
   /** Follows the changes until stopped; failures are waited out. */
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -60,6 +60,8 @@
 export const WATCH_GRACE_SHARE = 0.25;
 /** ms; pace of the roles' loops when nothing woke them. */
 export const LOOP_MS = 300;
+/** ms; pace of the leader's loops on a node that does not lead; taking the role wakes them. */
+export const LOOP_IDLE_MS = 2_000;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
 export const LOOP_GATHER_MS = 20;
 /** ms; placements of lower work wait this long for others: a fiftieth of a short task where writes
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -36,12 +36,15 @@
   jobMark: number;
   resolve: (known: Known | 'unsure') => void;
   settled: boolean;
+  /** Ends its timer: thousands left to run out would each wake the process. */
+  cancel: () => void;
 }
 
 interface Submission {
   spec: JobSpec;
   resolve: (result: 'accepted' | 'known' | 'unsure') => void;
   settled: boolean;
+  cancel: () => void;
 }
 
 /** Why a job can never run, or null. 'unknown': the machine types are not known yet. */
@@ -145,9 +148,9 @@
 
   private accept(spec: JobSpec): Promise<'accepted' | 'known' | 'unsure'> {
     return new Promise((resolve) => {
-      const submission: Submission = { spec, resolve, settled: false };
+      const cancel = this.clock.after(SUBMIT_LIMIT_MS, () => this.settle(submission, 'unsure'));
+      const submission: Submission = { spec, resolve, settled: false, cancel };
       this.submissions.push(submission);
-      this.clock.after(SUBMIT_LIMIT_MS, () => this.settle(submission, 'unsure'));
       if (this.committing === 0) {
         this.committing++;
         this.clock.after(GROUP_COMMIT_MS, () => void this.commitGroups());
@@ -158,6 +161,7 @@
   private settle(submission: Submission, result: 'accepted' | 'known' | 'unsure'): void {
     if (submission.settled) return;
     submission.settled = true;
+    submission.cancel();
     submission.resolve(result);
   }
 
@@ -258,9 +262,10 @@
   private check(id: string, limitMs: number): Promise<Known | 'unsure'> {
     if (this.checks.length >= CHECK_QUEUE) return Promise.resolve('unsure');
     return new Promise((resolve) => {
-      const check: Check = { id, jobMark: this.view.markOf(jobKey(id)), resolve, settled: false };
+      const cancel = this.clock.after(limitMs, () => this.answer(check, 'unsure'));
+      const jobMark = this.view.markOf(jobKey(id));
+      const check: Check = { id, jobMark, resolve, settled: false, cancel };
       this.checks.push(check);
-      this.clock.after(limitMs, () => this.answer(check, 'unsure'));
       if (!this.checking) {
         this.checking = true;
         const since = this.clock.now() - this.checkedAt;
@@ -273,6 +278,7 @@
   private answer(check: Check, known: Known | 'unsure'): void {
     if (check.settled) return;
     check.settled = true;
+    check.cancel();
     check.resolve(known);
   }
 
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -8,6 +8,7 @@
   LEADER_GATHER_MS,
   LIST_PAGE,
   LOOP_GATHER_MS,
+  LOOP_IDLE_MS,
   LOOP_MS,
   LOOP_REST,
   MAX_BODY_BYTES,
@@ -147,14 +148,16 @@
       (jobs) => this.tellOf(jobs),
       spacing(CHECK_SHARE),
     );
+    const leading = (): number => (this.leader ? LOOP_MS : LOOP_IDLE_MS);
     this.rolesLoop = this.loop('roles', () => this.roles.round());
     this.partsLoop = this.loop('parts', () => this.partsRound());
     this.leaderLoop = this.loop(
       'leader',
       () => this.leaderRound(),
       () => Math.max(LEADER_GATHER_MS / LOOP_REST, this.leader?.costMs ?? 0),
+      leading,
     );
-    this.fleetLoop = this.loop('fleet', () => this.fleetRound());
+    this.fleetLoop = this.loop('fleet', () => this.fleetRound(), undefined, leading);
     this.view.onChange((keys) => this.changed(keys));
   }
 
@@ -225,7 +228,12 @@
    * Runs a round now and again, and soon after it is woken; no failure ends it. `costMs` tells how
    * much of the processor a round takes: the pause before the next leaves most of it to reports.
    */
-  private loop(name: string, round: () => Promise<void>, costMs: () => number = () => 0): Loop {
+  private loop(
+    name: string,
+    round: () => Promise<void>,
+    costMs: () => number = () => 0,
+    idleMs: () => number = () => LOOP_MS,
+  ): Loop {
     const { clock } = this.outside;
     let cancel: (() => void) | null = null;
     let running = false;
@@ -248,7 +256,7 @@
       }
       running = false;
       soon = again;
-      schedule(again ? gatherMs() : LOOP_MS);
+      schedule(again ? gatherMs() : idleMs());
     };
     const schedule = (delay: number): void => {
       cancel?.();
@@ -368,6 +376,8 @@
         this.random,
       );
       log.info({ term: lead.term }, 'leading');
+      this.leaderLoop.wake();
+      this.fleetLoop.wake();
     }
   }
 
