--- a/src/constants.ts
+++ b/src/constants.ts
@@ -173,7 +173,7 @@
 export const ASSIGN_PACE_MS = 1_000;
 /** s; a job of which nothing has begun for so long comes first: the largest, which step back for
  * others, must begin within 4 minutes, of which a team at its limit or an outage may take most. */
-export const BEGIN_WITHIN_S = 60;
+export const BEGIN_WITHIN_S = 100;
 /** Share of a job's tasks that come first for that reason; the rest keeps its turn. */
 export const BEGIN_SHARE = 0.05;
 /** Report intervals without a report after which a machine takes no new tasks. */
--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -163,3 +163,21 @@
   await world.round(3000);
   assert.equal(Object.keys(world.stored()?.live ?? {}).length, 40);
 });
+
+// Seen on the one-zone site grown: the first tasks of a job that came first in the leader's order were
+// queued in a part, where tasks with nearer deadlines passed them until they were given back.
+test('a job of which nothing has begun for long comes before nearer deadlines', async () => {
+  const world = await lone({ spec: { deadlineS: 900 } });
+  await world.round(120_000);
+  const chunk = { ids: '0', done: '', live: {}, team: 'red', cpus: 4, gpus: 0, memoryGb: 1 };
+  const spec = { ...SPEC, id: 'j-000002', deadlineS: 30 };
+  world.state.change([
+    { key: jobKey('j-000002'), value: { spec, at: world.clock.wall() } },
+    { key: chunkKey('p', 'j-000002', 2), value: { ...chunk, zone: 'a' } },
+    { key: chunkKey('p', JOB, 1), value: { ...chunk, zone: 'a' } },
+  ]);
+  await world.clock.run(world.clock.now() + 300);
+  world.report();
+  await world.round();
+  assert.equal(world.stored()?.live['0']?.[0], 'm-1');
+});
