--- a/src/constants.ts
+++ b/src/constants.ts
@@ -60,6 +60,8 @@
 export const WATCH_GRACE_SHARE = 0.25;
 /** ms; pace of the roles' loops when nothing woke them. */
 export const LOOP_MS = 300;
+/** ms; pace of the leader's loops on a node that does not lead; taking the role wakes them. */
+export const LOOP_IDLE_MS = 2_000;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
 export const LOOP_GATHER_MS = 20;
 /** ms; placements of lower work wait this long for others: a fiftieth of a short task where writes
@@ -171,7 +173,7 @@
 export const ASSIGN_PACE_MS = 1_000;
 /** s; a job of which nothing has begun for so long comes first: the largest, which step back for
  * others, must begin within 4 minutes, of which a team at its limit or an outage may take most. */
-export const BEGIN_WITHIN_S = 60;
+export const BEGIN_WITHIN_S = 100;
 /** Share of a job's tasks that come first for that reason; the rest keeps its turn. */
 export const BEGIN_SHARE = 0.05;
 /** Report intervals without a report after which a machine takes no new tasks. */
