--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -20,3 +20,28 @@
     assert.deepEqual(world.broken, []);
   }
 });
+
+// Several silent machines at once may be dead or only cut off. What stays silent for a lease is
+// returned and replaced; what comes back before keeps its tasks.
+test('of many silent machines the dead ones are returned and the cut ones kept', async () => {
+  const world = new World(21);
+  for (let at = 0; at < 6; at++) world.addMachine('small', 'a', false, 500);
+  await world.run(8);
+  const service = { service: true, spot: false };
+  void world.submit('j-000001', { ...service, team: 'red', cpus: 2, tasks: 8 });
+  void world.submit('j-000002', { ...service, team: 'blue', cpus: 2, tasks: 4 });
+  await world.run(30);
+  const [cut1 = '', cut2 = '', dead1 = '', dead2 = ''] = world.workers.keys();
+  for (const [node] of world.members) {
+    for (const machine of [cut1, cut2]) world.cuts.add(`${node}>${machine}`);
+  }
+  for (const machine of [dead1, dead2]) world.workers.get(machine)?.die();
+  await world.run(18);
+  world.cuts.clear();
+  await world.run(60);
+  const there = [cut1, cut2, dead1, dead2].map((machine) => world.workers.has(machine));
+  assert.deepEqual(there, [true, true, false, false]);
+  const running = [...world.workers.values()].flatMap((worker) => [...worker.onMachine()]);
+  assert.equal(running.length, 12);
+  assert.deepEqual(world.broken, []);
+});
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
+import { Gate } from '../src/bookkeeping/gate.js';
 import { countRanges, readRanges, writeRanges } from '../src/bookkeeping/ranges.js';
 import { VERSION } from '../src/constants.js';
 import { Bandit } from '../src/coordination/bandit.js';
@@ -15,6 +16,7 @@
 import { parseJson, parseSubmission } from '../src/protocol/user-codec.js';
 import { encodeReportAnswer, parseReport } from '../src/protocol/worker-codec.js';
 import { FrameReader } from '../src/transport/peer-link.js';
+import { SimClock } from './world/clock.js';
 import { TEAMS, TYPES } from './world/world.js';
 
 test('ranges are written and read', () => {
@@ -335,3 +337,56 @@
   const { version } = JSON.parse(readFileSync('package.json', 'utf8')) as { version: string };
   assert.equal(VERSION, version);
 });
+
+test('the state service: members share its limits, and one uses what the others leave', async () => {
+  // [members that ask, least and most requests a second that pass all together]
+  const cases: [string, number, number, number][] = [
+    ['all ask', 5, 60, 104],
+    ['one asks', 1, 60, 81],
+  ];
+  for (const [name, asking, least, most] of cases) {
+    const clock = new SimClock();
+    let level = 100;
+    let at = 0;
+    let passed = 0;
+    const gates = Array.from({ length: 5 }, () => new Gate(clock, 100, 50, 8, 5));
+    for (const gate of gates.slice(0, asking)) {
+      const ask = async (): Promise<void> => {
+        for (;;) {
+          await gate.pass('part', 0);
+          level = Math.min(100, level + ((clock.now() - at) / 1000) * 100) - 1;
+          at = clock.now();
+          if (level >= 0) passed++;
+          else {
+            level = 0;
+            gate.refused(0);
+          }
+        }
+      };
+      void ask();
+    }
+    await clock.run(30_000);
+    const before = passed;
+    await clock.run(90_000);
+    const rate = (passed - before) / 60;
+    assert.ok(rate >= least && rate <= most, `${name}: ${rate} a second`);
+  }
+});
+
+test('the state service: what a node wrote lately says how scarce writes are', async () => {
+  // [writes a second of this node, what it is told]; its equal share is 10 a second.
+  const cases: [number, string][] = [
+    [2, 'plenty'],
+    [7, 'scarce'],
+    [10, 'short'],
+  ];
+  for (const [rate, supply] of cases) {
+    const clock = new SimClock();
+    const gate = new Gate(clock, 1000, 50, 8, 5);
+    for (let turn = 0; turn < rate * 20; turn++) {
+      void gate.pass('part', 1);
+      await clock.run(clock.now() + 1000 / rate);
+    }
+    assert.equal(gate.supply, supply, `${rate} a second`);
+  }
+});
