Parts place in the leader's order; of late jobs the one with the least work first

In the parts hopeless jobs, whose deadlines are nearest, came first. Change: parts take chunks in the order in which the leader made them; jobs that will be late are ordered by the work they have left. The part's own rule for overdue jobs is out again.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -503,6 +503,7 @@
     }
     const due = (job: Open): number =>
       job.spec.deadlineS === null ? Infinity : job.at + job.spec.deadlineS * 1000;
+    const left = ({ spec, unassigned }: Open): number => unassigned * spec.cpus * spec.estimateS;
     const share = (job: Open): number => {
       const team = this.options.teams.find((one) => one.name === job.spec.team);
       return (used.get(job.spec.team)?.cpus ?? 0) / Math.max(1, team?.cpus ?? 0);
@@ -516,6 +517,8 @@
           (a.overdue ? a.at - b.at : 0) ||
           Number(b.guaranteed) - Number(a.guaranteed) ||
           a.tier - b.tier ||
+          // Of those that will be late the least work first: that lets most of them end soon.
+          (a.tier === 1 ? left(a) - left(b) : 0) ||
           (due(a) === due(b) ? 0 : due(a) - due(b)) ||
           share(a) - share(b) ||
           a.at - b.at,
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -429,8 +429,6 @@
         term: this.options.term,
         startWithinS: this.options.startWithinS,
         job: (id) => this.view.job(id),
-        begun: (id) =>
-          this.view.chunksOf(id).some((chunk) => chunk.liveCount > 0 || chunk.done > 0),
         pauses: (id) => this.pauses(id),
       },
       this.tasks,
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -1,7 +1,6 @@
 import {
   ATTEMPT_PARTS,
   ATTEMPT_STEP,
-  BEGIN_WITHIN_S,
   FETCH_SHARE,
   GATHER_MS,
   GATHER_SETTLED_MS,
@@ -29,8 +28,6 @@
   startWithinS: Readonly<Record<string, number>>;
   /** A job's description and the time of day of its acceptance; null: it is over. */
   job: (id: string) => { spec: JobSpec; at: number } | null;
-  /** Whether any task of a job was placed anywhere. */
-  begun: (id: string) => boolean;
   /** Whether a job waits after failures. */
   pauses: (id: string) => boolean;
 }
@@ -56,23 +53,19 @@
   /** Places what waits; returns the machines on which tasks must now be stopped. */
   place(): Set<string> {
     const stopped = new Set<string>();
-    const wall = this.clock.wall();
-    const waiting: { chunk: Chunk; spec: JobSpec; due: number; at: number }[] = [];
+    const waiting: { chunk: Chunk; spec: JobSpec }[] = [];
     for (const chunk of this.tasks.waiting) {
       const job = this.options.job(chunk.job);
       if (!job || this.options.pauses(chunk.job)) continue;
-      const { spec, at } = job;
-      // The leader sends some tasks of a job that has not begun for long: they come first here too,
-      // however far off its deadline is, or others would pass them until they are given back.
-      const overdue = wall - at > BEGIN_WITHIN_S * 1000 && !this.options.begun(chunk.job);
-      const end = spec.deadlineS === null ? Infinity : at + spec.deadlineS * 1000;
-      waiting.push({ chunk, spec, due: overdue ? 0 : end, at });
+      const { spec } = job;
+      waiting.push({ chunk, spec });
     }
     if (waiting.length === 0) return stopped;
+    // In the leader's order, which is that of the chunks' numbers. By deadline, hopeless jobs would
+    // pass all others here, and one whose turn came late would be passed until it is given back.
     waiting.sort(
       (a, b) =>
-        rankOf(b.spec.priority) - rankOf(a.spec.priority) ||
-        (a.due === b.due ? a.at - b.at : a.due - b.due),
+        rankOf(b.spec.priority) - rankOf(a.spec.priority) || a.chunk.number - b.chunk.number,
     );
     const places = this.places();
     const load = this.load();
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -24,6 +24,8 @@
 export interface Chunk {
   key: string;
   job: string;
+  /** Greater than those of all chunks that the leader made before. */
+  number: number;
   record: ChunkRecord;
   slots: Map<number, Slot>;
   /** Its slots that wait for a place, in the order of their numbers. */
@@ -71,6 +73,7 @@
     const chunk: Chunk = {
       key,
       job: name.job,
+      number: name.number,
       record: held.value,
       stored: held.value,
       slots: new Map(),
