First tasks of a long waiting job are kept; fewer jobs count as in time; renting ahead reverted

Deadlines in overload: all room for lower work counted as if urgent work took none, so too many jobs were kept in time and missed it.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -198,8 +198,9 @@
 export const DIRECT_TIMEOUT_MS = 2_000;
 /** Owners' estimates are often wrong by half; renting counts on tasks this much longer. */
 export const ESTIMATE_MARGIN = 1.25;
-/** Share of the fleet's CPUs for which more work of the same kind is counted on when renting. */
-export const RENT_AHEAD_SHARE = 0.02;
+/** Share of the room for lower work that counts when jobs are chosen to be late: the rest goes to
+ * urgent work, to ways between tasks and to estimates that are too low. */
+export const LATE_ROOM = 0.75;
 /** Boot times within which tasks are to be done that a machine rented now can't help in time. */
 export const LATE_BOOTS = 1.5;
 /** s; what a running task is taken to have left when the fleet's future room is reckoned. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -9,7 +9,6 @@
   LATE_BOOTS,
   NO_CAPACITY_PAUSE_MS,
   PREEMPTIBLE_SHARE,
-  RENT_AHEAD_SHARE,
   RENT_MAX,
   RETURN_MAX,
   RUNNING_LEFT_S,
@@ -334,11 +333,6 @@
     const offers = this.offers();
     const wants = new Map<string, { offer: Offer; count: number; rooms: Room[] }>();
     let size = picture.machines.length;
-    // On a large fleet work follows that fills what one task leaves open: there the price of a whole
-    // machine counts, on a small one what this work pays for.
-    const types = new Map(this.types().map((type) => [type.name, type.cpus]));
-    let ahead = 0;
-    for (const one of picture.machines) ahead += (types.get(one.type) ?? 0) * RENT_AHEAD_SHARE;
     for (const { spec, count } of this.beyondFleet(picture, booting)) {
       let left = count;
       const fill = (rooms: Room[]): void => {
@@ -356,7 +350,7 @@
         if (mayUse(spec, { ...want.offer, type: want.offer.type.name })) fill(want.rooms);
       }
       while (left > 0 && size < this.options.maxMachines) {
-        const best = this.cheapest(offers, spec, left + Math.floor(ahead / spec.cpus));
+        const best = this.cheapest(offers, spec, left);
         if (!best) break;
         const key = this.offerKey(best);
         const want = wants.get(key) ?? { offer: best, count: 0, rooms: [] };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -5,6 +5,7 @@
   BEGIN_WITHIN_S,
   CHUNK_TASK_BYTES,
   GUARDS_PER_OP,
+  LATE_ROOM,
   QUEUE_REFILL,
   QUEUE_S,
   URGENT_RESERVE,
@@ -460,7 +461,7 @@
       if (queue) queue.waitingCpus += waiting * spec.cpus;
       unmet.push({ spec, count: waiting, at });
     }
-    return this.order(used, cpus);
+    return this.order(used, cpus * LATE_ROOM);
   }
 
   private occupy(machine: Slotted, spec: JobSpec, count: number): void {
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -1,4 +1,5 @@
 import {
+  BEGIN_WITHIN_S,
   CHUNK_BYTES,
   CHUNK_TASK_BYTES,
   COMMANDS_MAX,
@@ -429,6 +430,7 @@
         term: this.options.term,
         startWithinS: this.options.startWithinS,
         job: (id) => this.view.job(id),
+        beginner: (id) => this.beginner(id),
         pauses: (id) => this.pauses(id),
       },
       this.tasks,
@@ -440,6 +442,12 @@
     return this.placing;
   }
 
+  private beginner(job: string): boolean {
+    const record = this.view.job(job);
+    if (!record || this.clock.wall() - record.at < BEGIN_WITHIN_S * 1000) return false;
+    return this.view.chunksOf(job).every((chunk) => chunk.done === 0);
+  }
+
   private pauses(job: string): boolean {
     return (this.failures.get(job)?.until ?? 0) > this.clock.now();
   }
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -28,6 +28,8 @@
   startWithinS: Readonly<Record<string, number>>;
   /** A job's description and the time of day of its acceptance; null: it is over. */
   job: (id: string) => { spec: JobSpec; at: number } | null;
+  /** Whether a job waited long to begin and none of its tasks has ended yet. */
+  beginner: (id: string) => boolean;
   /** Whether a job waits after failures. */
   pauses: (id: string) => boolean;
 }
@@ -202,7 +204,10 @@
       const lower = [...this.tasks.on(place.machine.name)]
         .filter(([slot, other]) => {
           const otherSpec = slot.halting ? null : this.options.job(other.job)?.spec;
-          return otherSpec && rankOf(otherSpec.priority) < rank;
+          if (!otherSpec) return false;
+          // The first tasks of a job that waited long are the newest, and would go again and again.
+          if (!this.settled(slot) && this.options.beginner(other.job)) return false;
+          return rankOf(otherSpec.priority) < rank;
         })
         .sort(([a], [b]) => (b.runningAt ?? Infinity) - (a.runningAt ?? Infinity));
       const room = { ...place.room };
@@ -232,6 +237,11 @@
     return place;
   }
 
+  /** Whether a task ran long enough for its start to have been worth it. */
+  private settled(slot: Slot): boolean {
+    return slot.runningAt !== null && this.clock.now() - slot.runningAt > GATHER_SETTLED_MS;
+  }
+
   /**
    * Moves the services of little-used machines to others that have room and their images, so that
    * these machines fall idle and are returned. A replica is away for well under a second; one that
@@ -251,8 +261,8 @@
       if (this.use(place) > GATHER_USE || emptied.size >= most) return emptied;
       const tasks = [...this.tasks.on(place.machine.name)];
       const movable = tasks.every(([slot, chunk]) => {
-        const settled = slot.runningAt !== null && now - slot.runningAt > GATHER_SETTLED_MS;
-        return this.options.job(chunk.job)?.spec.kind === 'service' && settled && !slot.halting;
+        const service = this.options.job(chunk.job)?.spec.kind === 'service';
+        return service && this.settled(slot) && !slot.halting;
       });
       if (!movable || tasks.length === 0) continue;
       const targets = places.slice(at + 1).filter((other) => !other.machine.closing);
