A stop's answer lets the waiting start go at once; urgent work goes where its image is

Since direct commands go only to machines for which something changed, a start that waited for stopped work to leave was sent with the machine's next report, half a second later and more; room was made on any machine, so the image was fetched for 2 to 7 s; the leader gathered for 60 ms. Change: an exit stirs its machine; making room counts a missing image like three stopped tasks; the leader gathers for 30 ms.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -78,7 +78,7 @@
 /** ms; a part writes what became of its machines this often at the most. */
 export const STATUS_PACE_MS = { plenty: 500, scarce: 2_000, short: 3_000 };
 /** ms; the leader's loop waits this long, since its rounds look at all machines and open jobs. */
-export const LEADER_GATHER_MS = 60;
+export const LEADER_GATHER_MS = 30;
 /** Times its own processor time that a woken round rests, so that a large fleet's rounds leave most
  * of a slow processor to reports and answers. */
 export const LOOP_REST = 4;
@@ -219,6 +219,8 @@
 export const GATHER_MS = 15_000;
 /** ms; a replica younger than this stays: stopping it would undo its start. */
 export const GATHER_SETTLED_MS = 35_000;
+/** Tasks of lower work that may be stopped more where that spares urgent work the image's fetch. */
+export const IMAGE_VICTIMS = 3;
 /** Share of a part's machines whose services may move in one go: one of a small fleet. */
 export const GATHER_SHARE = 0.05;
 /** Share of its CPUs in use up to which a machine's services may be moved away. */
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -220,6 +220,8 @@
       listed.add(found.slot);
       if (one.state === 'exited') {
         this.exited(found.chunk, found.slot, one, machine, now);
+        // Its room may be what a start on this machine waited for.
+        this.stirred.add(machine.name);
         this.wake();
       } else if (one.state !== 'fetching') {
         found.slot.runningAt ??= now;
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -6,6 +6,7 @@
   GATHER_SETTLED_MS,
   GATHER_SHARE,
   GATHER_USE,
+  IMAGE_VICTIMS,
 } from '../constants.js';
 import type { Log } from '../bookkeeping/log.js';
 import { rankOf, type JobSpec } from '../protocol/terms.js';
@@ -200,6 +201,7 @@
   private preempt(spec: JobSpec, chunk: Chunk, open: Place[], stopped: Set<string>): Place | null {
     const rank = rankOf(spec.priority);
     let best: { place: Place; victims: [Slot, Chunk][] } | null = null;
+    let bestCost = Infinity;
     for (const place of open) {
       const lower = [...this.tasks.on(place.machine.name)]
         .filter(([slot, other]) => {
@@ -218,8 +220,12 @@
         victims.push([slot, other]);
       }
       if (!fits(room, chunk.record)) continue;
-      if (best === null || victims.length < best.victims.length) best = { place, victims };
-      if (victims.length <= 1) break;
+      // The fetch of an image can take as long as an urgent start may; stopped tasks only lose work.
+      const cost = victims.length + (place.machine.images.has(spec.image) ? 0 : IMAGE_VICTIMS);
+      if (cost >= bestCost) continue;
+      best = { place, victims };
+      bestCost = cost;
+      if (cost <= 1) break;
     }
     if (best === null) return null;
     const { place, victims } = best;
