--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -190,3 +190,46 @@
     assert.equal(stops.length, waited ? 0 : 1);
   }
 });
+
+// Seen on the earlier two-zone site: a start that waited for stopped work to leave its machine was
+// sent only with the machine's next report, which cost urgent work half a second and more.
+test('a start that waited for stopped work follows the answer to the stop', async () => {
+  const world = await lone({ spec: { tasks: 4 }, ids: '0-3' });
+  world.report();
+  await world.round();
+  const tasks = Object.entries(world.stored()?.live ?? {}).map(([index, [, attempt]]) => ({
+    ...running(attempt),
+    task: { job: JOB, index: Number(index) },
+  }));
+  const report: WorkerReport = {
+    machine: 'm-1',
+    address: '10.0.0.1:9',
+    type: 'small',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    seq: 1000,
+    token: TOKEN,
+    noticeS: null,
+    tasks,
+  };
+  world.sent.at(-1)?.done(report);
+  const spec: JobSpec = { ...SPEC, id: 'j-000002', kind: 'service', priority: 'high' };
+  const chunk = { ids: '0', done: '', live: {}, team: 'red', cpus: 1, gpus: 0, memoryGb: 1 };
+  world.state.change([
+    { key: jobKey('j-000002'), value: { spec, at: world.clock.wall() } },
+    { key: chunkKey('p', 'j-000002', 2), value: { ...chunk, zone: 'a' } },
+  ]);
+  await world.clock.run(world.clock.now() + 300);
+  await world.round();
+  const stops = world.sent.at(-1)?.commands ?? [];
+  assert.deepEqual(ops(stops), ['stop']);
+  const left = tasks.map((one) =>
+    one.attempt === stops[0]?.attempt
+      ? { ...one, state: 'exited' as const, cause: 'stopped' as const }
+      : one,
+  );
+  world.sent.at(-1)?.done({ ...report, seq: 1001, tasks: left });
+  await world.round();
+  assert.deepEqual(ops(world.sent.at(-1)?.commands ?? []), ['start']);
+});
