Forgetting an attempt fences every earlier direct start: a repeat of it has no effect

Cause: a direct start whose answer came may be delivered once more, long afterwards. The worker knows the attempt until it is told to forget it; after that the repeat ran again, after a confirmed cancellation or beside its successor. What forgets an attempt now carries a raised token where a start was sent straight to the machine under the present one; old tokens still prove that the machine hears us.

--- a/src/coordination/machines.ts
+++ b/src/coordination/machines.ts
@@ -26,6 +26,10 @@
   bump: number;
   /** Tokens below this one were given out before this entry was made. */
   firstBump: number;
+  /** Only a report that shows at least this one proves that it hears us. */
+  proofBump: number;
+  /** A start was sent straight to it under the present token: a repeat of it would be carried out. */
+  exposed: boolean;
   direct: Direct | null;
   type: string;
   zone: string;
@@ -112,6 +116,8 @@
       address: '',
       bump: this.highestBump,
       firstBump: this.highestBump,
+      proofBump: this.highestBump,
+      exposed: false,
       direct: null,
       type,
       zone,
@@ -155,9 +161,19 @@
     return this.baseToken + machine.bump;
   }
 
+  /**
+   * Makes all that was sent straight to it powerless as soon as the raised token reaches it. Old
+   * tokens still prove that it hears us: nothing has gone amiss.
+   */
+  fence(machine: Machine): void {
+    machine.bump++;
+    machine.exposed = false;
+  }
+
   /** From now on only a report that shows a token not given out yet proves that it hears us. */
   doubt(machine: Machine): void {
-    machine.bump++;
+    this.fence(machine);
+    machine.proofBump = machine.bump;
     if (machine.proven) machine.asked = 0;
     machine.proven = false;
   }
@@ -169,7 +185,7 @@
   order(machine: Machine, report: WorkerReport, askedAt: number | null): Worth {
     const now = this.clock.now();
     const order = report.session - machine.session || report.seq - machine.seq;
-    const shows = report.token >= this.tokenOf(machine);
+    const shows = report.token >= this.baseToken + machine.proofBump;
     // A machine that is back at once may count anew. Its reports then look like late copies, but a
     // copy can't show a token that was first given out after everything known, nor answer a call.
     const counts =
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -188,10 +188,9 @@
     const worth = this.observe(machine, report, null);
     if (!this.machines.mayAnswer(machine)) return { ok: false };
     this.machines.answered(machine, worth);
-    const token = this.machines.tokenOf(machine);
     // What is put into the answer to a late copy is lost: starts go only to who hears us.
     const commands = worth === 'older' ? [] : this.commandsFor(machine, true);
-    return { ok: true, token, commands };
+    return { ok: true, token: this.machines.tokenOf(machine), commands };
   }
 
   /** Takes over what a report shows. */
@@ -275,6 +274,11 @@
       const graceS = spec !== null && spec.checkpointS > 0 ? spec.saveS : 0;
       commands.push({ op: 'stop', task: one.task, attempt: one.attempt, graceS });
     }
+    // Once forgotten, a start that was sent straight to the worker and is delivered once more would
+    // run again: what forgets it carries a token that makes all earlier direct calls powerless.
+    if (machine.exposed && commands.some((command) => command.op === 'forget')) {
+      this.machines.fence(machine);
+    }
     if (this.machines.usable(machine)) this.startMissing(machine, listed, room, all, commands);
     return commands.slice(0, COMMANDS_MAX);
   }
@@ -367,6 +371,7 @@
       fence: null,
     };
     machine.direct = direct;
+    if (commands.some((command) => command.op === 'start')) machine.exposed = true;
     const askedAt = this.clock.now();
     try {
       const result = await this.workers.command(
--- a/test/hearing.test.ts
+++ b/test/hearing.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { chunkKey, machineKey } from '../src/bookkeeping/keys.js';
 import type { MachineRecord } from '../src/bookkeeping/records.js';
-import { JOB, TOKEN, lone, ops, running } from './world/lone.js';
+import { JOB, TOKEN, ended, lone, ops, running } from './world/lone.js';
 
 type Lone = Awaited<ReturnType<typeof lone>>;
 
@@ -134,6 +134,36 @@
       assert.ok(token > TOKEN);
     },
   },
+  {
+    name: 'forgetting an attempt makes every earlier direct start powerless, without new doubt',
+    check: async (world) => {
+      world.report();
+      await world.round();
+      const attempt = world.stored()?.live['0']?.[1] ?? 0;
+      const sent = world.sent[0];
+      assert.ok(sent);
+      assert.equal(sent.token, TOKEN);
+      sent.done({
+        machine: 'm-1',
+        address: '10.0.0.1:9',
+        type: 'small',
+        zone: 'a',
+        spot: false,
+        session: 1,
+        seq: 50,
+        token: TOKEN,
+        noticeS: null,
+        tasks: [running(attempt)],
+      });
+      await world.round();
+      world.report({ seq: 51 }, [ended(attempt)]);
+      await world.round(4000);
+      const answer = world.answer({ seq: 52 }, [ended(attempt)]);
+      assert.ok(answer.ok && ops(answer.commands).includes('forget'));
+      assert.ok(answer.token > sent.token);
+      assert.equal(world.part.machines.all.get('m-1')?.proven, true);
+    },
+  },
   {
     name: 'commands in the answer to a late copy do not count as delivered',
     placed: true,
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -144,6 +144,22 @@
       await world.run(10);
     },
   },
+  {
+    // Without the token raised at forgetting, a repeated start runs beside its successor, or after
+    // its job was cancelled.
+    name: 'direct calls that were carried out and come once more, long after',
+    trouble: async (world) => {
+      for (const worker of world.workers.values()) worker.repeatDirectMs = [4000, 70_000];
+      for (let turn = 0; turn < 4; turn++) {
+        void world.submit(`j-10000${turn}`, { service: true, spot: false, urgent: true, tasks: 2 });
+        await world.run(6);
+        void world.cancel(`j-10000${turn}`);
+        await world.run(2);
+      }
+      await world.run(60);
+      for (const worker of world.workers.values()) worker.repeatDirectMs = [];
+    },
+  },
   {
     name: 'machines back at once that count anew',
     trouble: async (world) => {
--- a/test/world/lone.ts
+++ b/test/world/lone.ts
@@ -74,7 +74,7 @@
   const view = new View(api, gate, clock, silent, () => 0.5);
   void view.follow();
   await clock.run(500);
-  const sent: { commands: Command[]; fail: () => void; done: (report: WorkerReport) => void }[] =
+  const sent: { token: number; commands: Command[]; fail: () => void; done: (report: WorkerReport) => void }[] =
     [];
   const part = new Part(
     {
@@ -99,9 +99,10 @@
     view,
     new Committer(api, gate, view, clock, silent, () => 0.5),
     {
-      command: (_address, _token, _session, commands) =>
+      command: (_address, token, _session, commands) =>
         new Promise((resolve, reject) => {
           sent.push({
+            token,
             commands,
             fail: () => reject(new Error('no answer')),
             done: (report) => resolve({ executed: true, report }),
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -24,6 +24,8 @@
   dead = false;
   /** Direct calls to this machine are carried out this much later, and their answers are lost. */
   holdDirectMs = 0;
+  /** Direct calls that were carried out are delivered once more so much later. */
+  repeatDirectMs: number[] = [];
   /** Reports sent from now on are held back this long, and their answers are lost. */
   holdReportsMs = 0;
   /** Its reports arrive, but answers and commands do not reach it. */
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -223,6 +223,9 @@
       if (cut) return;
       this.clock.after(1 + held, () => {
         const reply = worker.command(token, session, calls);
+        for (const later of worker.repeatDirectMs) {
+          this.clock.after(later, () => worker.command(token, session, calls));
+        }
         const parsed = parseReport(JSON.parse(reply.body) as Record<string, unknown>);
         if (parsed.ok && held === 0)
           resolve({ executed: reply.status === 200, report: parsed.value });
@@ -351,6 +354,9 @@
       }
     }
     if (!job) return;
+    if (job.cancelledAt !== null && this.clock.now() - job.cancelledAt > 50_000) {
+      this.broken.push(`ran_cancelled ${task} starts`);
+    }
     const most = TEAMS.find((team) => team.name === job.team)?.cpusMax ?? 0;
     if (used > most + 1e-6) this.broken.push(`quota ${job.team} ${used}`);
     const { zone, spot } = worker.machine;
