--- a/src/constants.ts
+++ b/src/constants.ts
@@ -86,6 +86,9 @@
 export const USE_LOG_MS = 20_000;
 /** ms; submissions that come within this time share a transaction; checks too, at the least. */
 export const GROUP_COMMIT_MS = 15;
+/** ms; how long users wait for the answer to a poll, and to a submission or cancellation. */
+export const POLL_WAIT_MS = 2_000;
+export const SUBMIT_WAIT_MS = 5_000;
 /** ms; a poll may wait this long for its check before it is answered 503 (users wait 2 s). */
 export const POLL_LIMIT_MS = 1_700;
 /** ms; a submission or cancellation may wait this long for its commit (users wait 5 s). */
@@ -115,6 +118,17 @@
 export const FINAL_CACHE = 20_000;
 /** Sockets left for the state service, the cloud and peers out of the limit. */
 export const RESERVED_SOCKETS = 100;
+/** Share of all sockets kept for direct calls: a call takes one for some milliseconds, and it stays
+ * open for the next until others need it. */
+export const DIRECT_SOCKETS = 0.125;
+/** Direct calls under way at once: so many answers are handled well within the time of one call, and
+ * some dozens of machines that hang don't hold the others up. */
+export const DIRECT_AT_ONCE = 64;
+/** Share of the sockets for requests in use above which users' connections end with their answer,
+ * so that workers find one: after a restart all of them come to the few nodes that are up. */
+export const CROWDED_SHARE = 0.7;
+/** ms; an idle connection is kept so long: three reports of the slowest workers seen. */
+export const KEEP_ALIVE_MS = 20_000;
 /** Sockets to the state service beside the watch. */
 export const STATE_SOCKETS = 16;
 /** Bytes; a larger frame between peers is taken for a broken peer. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -74,6 +74,8 @@
   private requests = 0;
   private busy = false;
   private listedAt = -Infinity;
+  /** What was read of a list so far. */
+  private listing: ListedMachine[] | null = null;
   private catalogAt = -Infinity;
 
   constructor(
@@ -470,20 +472,29 @@
 
   // --- The machine list ----------------------------------------------------------------------
 
-  /** Reads the whole list now and then: machines nobody here knows, and machines that failed. */
+  /**
+   * Reads the whole list now and then: machines nobody here knows, and machines that failed. A page
+   * a round where the cloud's limit allows no more: a list of several pages would else never end.
+   */
   private async list(): Promise<void> {
     const now = this.clock.now();
-    if (now - this.listedAt < Math.max(5, this.options.listLagS) * 1000) return;
-    this.listedAt = now;
-    const listed: ListedMachine[] = [];
-    for (let after = ''; ;) {
+    if (!this.listing) {
+      if (now - this.listedAt < Math.max(5, this.options.listLagS) * 1000) return;
+      this.listedAt = now;
+      this.listing = [];
+    }
+    const listed = this.listing;
+    for (;;) {
       if (!this.mayCall()) return;
-      const page = await this.cloud.list(after);
-      if (!page) return;
+      const page = await this.cloud.list(listed.at(-1)?.name ?? '');
+      if (!page) {
+        this.listing = null;
+        return;
+      }
       listed.push(...page.machines);
-      after = page.machines.at(-1)?.name ?? after;
       if (!page.more || page.machines.length === 0) break;
     }
+    this.listing = null;
     const unknown = listed.filter((one) => !this.view.get(machineKey(one.name)));
     if (unknown.length > 0) {
       this.log.info({ machines: unknown.map((one) => one.name) }, 'machines adopted from the list');
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -120,8 +120,10 @@
     const id = submissionId(json.value);
     if (id === null) return { status: 400, body: { error: 'ref: must look like j-000412' } };
     if (!this.view.loaded) return later(503, 'starting');
-    // A known id is answered first, whatever else the body says.
-    const known = this.knownHere(id);
+    // A known id is answered first, whatever else the body says. What has ended stays so; of what
+    // has not, this node may not have heard the end yet, and must not give an older answer.
+    const known = await this.whatIsKnown(id);
+    if (known === 'unsure') return later(503, 'state service does not answer');
     if (known) return { status: 200, body: encodeJobState(id, known.state) };
     const parsed = parseSubmission(json.value);
     const types = this.view.get<MachineType[]>(CATALOG)?.value ?? null;
@@ -138,7 +140,7 @@
     const result = await this.accept(parsed.value);
     if (result === 'accepted') return { status: 201, body: encodeJobState(id, 'queued') };
     if (result === 'known') {
-      const stored = this.knownHere(id) ?? (await this.check(id, POLL_LIMIT_MS));
+      const stored = await this.check(id, POLL_LIMIT_MS);
       if (stored && stored !== 'unsure') {
         return { status: 200, body: encodeJobState(id, stored.state) };
       }
@@ -251,11 +253,12 @@
     return { state: running > 0 ? 'running' : 'queued', done, running, final: false };
   }
 
-  /** What this node holds, right or late. */
-  private knownHere(id: string): Known {
+  /** What is known of a job that this node has heard of; null: it has not. */
+  private whatIsKnown(id: string): Promise<Known | 'unsure'> {
     const final = this.view.final(id);
-    if (final) return this.describeFinal(final);
-    return this.view.get(jobKey(id)) ? this.describeLive(id) : null;
+    if (final) return Promise.resolve(this.describeFinal(final));
+    if (!this.view.get(jobKey(id))) return Promise.resolve(null);
+    return this.check(id, POLL_LIMIT_MS);
   }
 
   /** What the state service holds now: many jobs share one comparing transaction. */
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -3,8 +3,12 @@
 import type net from 'node:net';
 import {
   CHECK_SHARE,
+  CROWDED_SHARE,
   CLOUD_TIMEOUT_MS,
+  DIRECT_AT_ONCE,
+  DIRECT_SOCKETS,
   DIRECT_TIMEOUT_MS,
+  KEEP_ALIVE_MS,
   LEADER_GATHER_MS,
   LIST_PAGE,
   LOOP_GATHER_MS,
@@ -14,12 +18,14 @@
   MAX_BODY_BYTES,
   PEER_FRAME_BYTES,
   PEER_RETRY_MS,
+  POLL_WAIT_MS,
   REDIRECT_RETRY_MS,
   RELAY_TIMEOUT_MS,
   RESERVED_SOCKETS,
   RETRY_AFTER_S,
   STATE_SOCKETS,
   STATE_TIMEOUT_MS,
+  SUBMIT_WAIT_MS,
   USE_LOG_MS,
   WATCH_GRACE_SHARE,
   WATCH_HOLD_MS,
@@ -195,8 +201,21 @@
     return { status: 200, body: await this.metrics(), type: 'text/plain; version=0.0.4' };
   }
 
-  /** Serves a user; a node that does not reach the state service asks a peer that may. */
+  /**
+   * Serves a user. What was found out longer ago than users wait is no answer any more: this node
+   * may have stood still meanwhile, and others may have given newer ones.
+   */
   async serve(ask: UserAsk, about: string, text: string | null): Promise<HttpReply> {
+    const { clock } = this.outside;
+    const from = clock.now();
+    const reply = await this.find(ask, about, text);
+    const old = clock.now() - from > (ask === 'poll' ? POLL_WAIT_MS : SUBMIT_WAIT_MS);
+    if (!old || reply.status >= 400) return reply;
+    return { status: 503, body: { error: 'too late' }, retryAfterS: RETRY_AFTER_S };
+  }
+
+  /** A node that does not reach the state service asks a peer that may. */
+  private async find(ask: UserAsk, about: string, text: string | null): Promise<HttpReply> {
     if (!this.front.ready || !this.reach.there) {
       for (const peer of this.outside.peersThere()) {
         const reply = await this.relay(peer, ask, about, text ?? '');
@@ -317,6 +336,7 @@
           startWithinS: settings.startWithinS,
           snapshotMs: settings.placement.snapshotS * 1000,
           alive: () => this.roles.owned(role)?.term === owned.term,
+          current: () => this.roles.current,
           gate: this.gate,
           written: () => this.tellOwner(LEADER),
         },
@@ -540,7 +560,9 @@
     const stateHttp = new HttpClient(settings.state, clock, STATE_SOCKETS);
     const watchHttp = new HttpClient(settings.state, clock, 1);
     const cloudHttp = new HttpClient(settings.cloud, clock, 2);
-    const workers = new HttpWorkerApi(clock, DIRECT_TIMEOUT_MS, settings.sockets / 4);
+    const direct = Math.floor(settings.sockets * DIRECT_SOCKETS);
+    const connections = settings.sockets - direct - RESERVED_SOCKETS;
+    const workers = new HttpWorkerApi(clock, DIRECT_TIMEOUT_MS, direct, DIRECT_AT_ONCE);
     const links = new Map<string, PeerLink>();
     const incarnation = randomUUID();
     const node = new ControllerNode(
@@ -566,7 +588,12 @@
       },
     };
     const routes: Route[] = [
-      { method: 'POST', path: '/checkin', handle: ({ text }) => node.report(text) },
+      {
+        method: 'POST',
+        path: '/checkin',
+        keeps: true,
+        handle: ({ text }) => node.report(text),
+      },
       { method: 'POST', path: '/v2/runs', handle: ({ text }) => node.serve('submit', '', text) },
       { method: 'GET', path: '/v2/runs/:id', handle: ({ id }) => node.serve('poll', id, null) },
       {
@@ -587,7 +614,12 @@
     const http = await listenHttp(
       settings.listen,
       routes,
-      { bodyBytes: MAX_BODY_BYTES, connections: settings.sockets - RESERVED_SOCKETS },
+      {
+        bodyBytes: MAX_BODY_BYTES,
+        connections,
+        crowded: Math.floor(connections * CROWDED_SHARE),
+        keepAliveMs: KEEP_ALIVE_MS,
+      },
       (error) => log.error({ error: String(error) }, 'request failed'),
     );
     const peers = await listenPeers(settings.peerListen, peerOptions);
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -65,6 +65,8 @@
   startWithinS: Readonly<Record<string, number>>;
   /** Still the owner, as far as the view knows. */
   alive: () => boolean;
+  /** What the view knows is recent enough to act on it before the outside. */
+  current: () => boolean;
   /** How far this node's writes to the state service reach. */
   gate: Pick<Gate, 'supply' | 'hasRoom'>;
   /** Something was written that the leader waits for. */
@@ -351,8 +353,9 @@
    * anew or forgotten, since it may be carried out minutes late.
    */
   private sendDirect(): void {
-    if (!this.options.alive()) return;
+    if (!this.options.alive() || !this.options.current()) return;
     for (const name of [...this.stirred]) {
+      if (this.workers.full) return;
       const machine = this.machines.all.get(name);
       if (machine?.direct) continue;
       this.stirred.delete(name);
@@ -382,7 +385,7 @@
       );
       if (machine.direct === direct) machine.direct = null;
       this.observe(machine, result.report, askedAt);
-      if (this.stirred.has(machine.name)) this.wake();
+      if (this.stirred.size > 0) this.wake();
     } catch (error) {
       if (machine.direct !== direct) return;
       this.machines.doubt(machine);
--- a/src/protocol/worker-api.ts
+++ b/src/protocol/worker-api.ts
@@ -12,6 +12,8 @@
 
 /** Sends commands straight to workers; tests put a stand-in here. */
 export interface WorkerApi {
+  /** No further call should be made now: what waits goes out when others are answered. */
+  readonly full: boolean;
   /** Throws where no readable answer came: the commands may still be carried out. */
   command(
     address: string,
@@ -23,23 +25,31 @@
 
 export class HttpWorkerApi implements WorkerApi {
   private readonly clients = new Map<string, HttpClient>();
+  /** Addresses with a call under way, one each. */
+  private readonly calling = new Set<string>();
 
   constructor(
     private readonly clock: Clock,
     private readonly timeoutMs: number,
     private readonly maxClients: number,
+    private readonly maxCalls: number,
   ) {}
 
+  get full(): boolean {
+    return this.calling.size >= this.maxCalls;
+  }
+
   private client(address: string): HttpClient {
     let client = this.clients.get(address);
     if (client) this.clients.delete(address);
     else client = new HttpClient(address, this.clock, 1);
     // Kept in the order of use; the one unused for longest makes room.
     this.clients.set(address, client);
-    if (this.clients.size > this.maxClients) {
-      const [oldest, unused] = this.clients.entries().next().value ?? [];
-      if (oldest !== undefined) this.clients.delete(oldest);
-      unused?.close();
+    for (const [oldest, unused] of this.clients) {
+      if (this.clients.size <= this.maxClients) break;
+      if (this.calling.has(oldest)) continue;
+      this.clients.delete(oldest);
+      unused.close();
     }
     return client;
   }
@@ -50,12 +60,11 @@
     session: number,
     commands: Command[],
   ): Promise<DirectResult> {
-    const answer = await this.client(address).call(
-      'POST',
-      '/commands',
-      encodeDirect(token, session, commands),
-      this.timeoutMs,
-    );
+    this.calling.add(address);
+    const body = encodeDirect(token, session, commands);
+    const answer = await this.client(address)
+      .call('POST', '/commands', body, this.timeoutMs)
+      .finally(() => this.calling.delete(address));
     const parsed = parseReport((answer.body ?? {}) as Record<string, unknown>);
     if ((answer.status !== 200 && answer.status !== 409) || !parsed.ok) {
       throw new NoAnswer(`commands: odd answer ${answer.status}`);
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -1,6 +1,7 @@
 import { serve } from '@hono/node-server';
 import { Hono } from 'hono/tiny';
 import type { Server } from 'node:http';
+import type { Socket } from 'node:net';
 
 export interface HttpReply {
   status: number;
@@ -20,12 +21,17 @@
 export interface Route {
   method: 'GET' | 'POST';
   path: string;
+  /** Its connections stay open however many there are. */
+  keeps?: boolean;
   handle(request: HttpRequest): HttpReply | Promise<HttpReply>;
 }
 
 export interface ServerLimits {
   bodyBytes: number;
   connections: number;
+  /** More connections than this: those of other routes end with their answer. */
+  crowded: number;
+  keepAliveMs: number;
 }
 
 /** Serves routes with JSON answers; everything unexpected is answered as JSON too. */
@@ -36,6 +42,7 @@
   onError: (error: unknown) => void,
 ): Promise<Server> {
   const app = new Hono();
+  let open = 0;
   const byPath = new Map<string, Route[]>();
   for (const route of routes) {
     byPath.set(route.path, [...(byPath.get(route.path) ?? []), route]);
@@ -53,6 +60,7 @@
       const reply = await route.handle({ id: context.req.param('id') ?? '', text });
       const headers: Record<string, string> = { 'content-type': reply.type ?? 'application/json' };
       if (reply.retryAfterS !== undefined) headers['retry-after'] = String(reply.retryAfterS);
+      if (open > limits.crowded && !route.keeps) headers['connection'] = 'close';
       const body = typeof reply.body === 'string' ? reply.body : JSON.stringify(reply.body);
       return new Response(body, { status: reply.status, headers });
     });
@@ -70,11 +78,15 @@
         hostname: address.slice(0, colon),
         port: Number(address.slice(colon + 1)),
         overrideGlobalObjects: true,
-        serverOptions: { keepAliveTimeout: 60_000, requestTimeout: 0, headersTimeout: 15_000 },
+        serverOptions: { keepAliveTimeout: limits.keepAliveMs, requestTimeout: 0, headersTimeout: 15_000 },
       },
       () => resolve(server as Server),
     ) as Server;
     server.maxConnections = limits.connections;
+    server.on('connection', (socket: Socket) => {
+      open++;
+      socket.once('close', () => open--);
+    });
     server.on('clientError', (_error, socket) => socket.destroy());
     server.on('error', reject);
   });
--- a/test/world/lone.ts
+++ b/test/world/lone.ts
@@ -93,12 +93,14 @@
       snapshotMs: 1e9,
       startWithinS: {},
       alive: () => true,
+      current: () => true,
       gate: { supply: 'scarce', hasRoom: () => true },
       written: () => undefined,
     },
     view,
     new Committer(api, gate, view, clock, silent, () => 0.5),
     {
+      full: false,
       command: (_address, token, _session, commands) =>
         new Promise((resolve, reject) => {
           sent.push({
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -165,6 +165,7 @@
       },
       cloud: this.cloud(),
       workers: {
+        full: false,
         command: (address, token, session, commands) =>
           guard(this.direct(name, address, token, session, commands)),
       },
