--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -78,7 +78,11 @@
         hostname: address.slice(0, colon),
         port: Number(address.slice(colon + 1)),
         overrideGlobalObjects: true,
-        serverOptions: { keepAliveTimeout: limits.keepAliveMs, requestTimeout: 0, headersTimeout: 15_000 },
+        serverOptions: {
+          keepAliveTimeout: limits.keepAliveMs,
+          requestTimeout: 0,
+          headersTimeout: 15_000,
+        },
       },
       () => resolve(server as Server),
     ) as Server;
--- a/test/world/lone.ts
+++ b/test/world/lone.ts
@@ -74,8 +74,12 @@
   const view = new View(api, gate, clock, silent, () => 0.5);
   void view.follow();
   await clock.run(500);
-  const sent: { token: number; commands: Command[]; fail: () => void; done: (report: WorkerReport) => void }[] =
-    [];
+  const sent: {
+    token: number;
+    commands: Command[];
+    fail: () => void;
+    done: (report: WorkerReport) => void;
+  }[] = [];
   const part = new Part(
     {
       part: 'p',
