The leader's sums follow each change; fewer rounds, hints and wake-ups

Sums now follow changes (ledger.ts), rounds rest nine times their cost, hints go out for urgent work only.

--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -73,6 +73,9 @@
   /** The machine of each placed task. */
   on: string[];
   liveCount: number;
+  /** Tasks that are not done, and those of them that wait for a place. */
+  active: number;
+  waiting: number;
   team: string;
   cpus: number;
   gpus: number;
@@ -86,12 +89,16 @@
 ): ChunkSummary {
   const on: string[] = [];
   for (const index in record.live) on.push(record.live[index]?.[0] ?? '');
+  const ids = readRanges(record.ids);
+  const done = countRanges(record.done);
   return {
     ...key,
-    ids: readRanges(record.ids),
-    done: countRanges(record.done),
+    ids,
+    done,
     on,
     liveCount: on.length,
+    active: ids.length - done,
+    waiting: ids.length - done - on.length,
     team: record.team,
     cpus: record.cpus,
     gpus: record.gpus,
--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -9,7 +9,7 @@
 import { Refused, type StateApi } from '../protocol/state-api.js';
 import { Backoff } from '../transport/backoff.js';
 import { sleep, type Clock } from '../transport/clock.js';
-import { CHUNKS, FINALS, JOBS, LIVE, ROOT, readChunkKey } from './keys.js';
+import { CHUNKS, FINALS, JOBS, LIVE, MACHINES, ROOT, readChunkKey } from './keys.js';
 import type { Gate } from './gate.js';
 import type { Log } from './log.js';
 import {
@@ -18,6 +18,7 @@
   type ChunkSummary,
   type FinalRecord,
   type JobRecord,
+  type MachineRecord,
 } from './records.js';
 
 export interface Held<T = unknown> {
@@ -31,20 +32,37 @@
   return end < 0 ? key.slice(LIVE.length) : key.slice(LIVE.length, end);
 }
 
+/** A chunk whose summary is made when somebody asks for it: most nodes never do. */
+class Sum {
+  private made: ChunkSummary | null = null;
+
+  constructor(
+    private readonly name: { part: string; job: string; number: number },
+    private readonly record: ChunkRecord,
+  ) {}
+
+  get summary(): ChunkSummary {
+    this.made ??= summarize(this.name, this.record);
+    return this.made;
+  }
+}
+
 /**
  * This node's copy of the live keys, kept by a watch. It is complete up to `revision`, and was so
  * at `freshAt` of this node's steady clock: the time at which the last answered watch was *sent*,
  * since the answer may have been held on its way.
  */
 export class View {
-  /** Keys by their kind, so that nobody walks all keys for the few of one kind. */
+  private readonly cells = new Map<string, Held>();
+  /** The same by their kind, so that nobody walks all keys for the few of one kind. */
   private readonly held = new Map<string, Map<string, Held>>();
   /** Marks of keys removed ahead of the watch, so that older events don't bring them back. */
   private readonly removed = new Map<string, number>();
   /** Jobs by id: they are asked for most often of all. */
   private readonly jobs = new Map<string, JobRecord>();
+  private readonly machines = new Map<string, MachineRecord>();
   private readonly finals = new Map<string, FinalRecord>();
-  private readonly summaries = new Map<string, ChunkSummary>();
+  private readonly sums = new Map<string, Sum>();
   private readonly byJob = new Map<string, Set<string>>();
   private readonly listeners: ((keys: string[]) => void)[] = [];
   private stopped = false;
@@ -81,7 +99,7 @@
   }
 
   get<T>(key: string): Held<T> | null {
-    return (this.held.get(kindOf(key))?.get(key) as Held<T> | undefined) ?? null;
+    return (this.cells.get(key) as Held<T> | undefined) ?? null;
   }
 
   markOf(key: string): number {
@@ -100,19 +118,44 @@
     return this.jobs.get(id) ?? null;
   }
 
+  /** The leader's word on a machine; null: it has not spoken. */
+  machine(name: string): MachineRecord | null {
+    return this.machines.get(name) ?? null;
+  }
+
   final(id: string): FinalRecord | null {
     return this.finals.get(id) ?? null;
   }
 
-  chunks(): Map<string, ChunkSummary> {
-    return this.summaries;
+  *chunks(): Generator<ChunkSummary> {
+    for (const sum of this.sums.values()) yield sum.summary;
+  }
+
+  get chunkCount(): number {
+    return this.sums.size;
+  }
+
+  chunkKeys(): Iterable<string> {
+    return this.sums.keys();
+  }
+
+  chunkKeysOf(job: string): Iterable<string> {
+    return this.byJob.get(job) ?? [];
+  }
+
+  chunk(key: string): ChunkSummary | null {
+    return this.sums.get(key)?.summary ?? null;
+  }
+
+  openJobs(): Iterable<JobRecord> {
+    return this.jobs.values();
   }
 
   chunksOf(job: string): ChunkSummary[] {
     const found: ChunkSummary[] = [];
     for (const key of this.byJob.get(job) ?? []) {
-      const summary = this.summaries.get(key);
-      if (summary) found.push(summary);
+      const sum = this.sums.get(key);
+      if (sum) found.push(sum.summary);
     }
     return found;
   }
@@ -135,18 +178,25 @@
     const known = this.get(key);
     if ((known && known.mark >= mark) || (this.removed.get(key) ?? 0) >= mark) return false;
     if (value === undefined) {
+      this.cells.delete(key);
       this.held.get(kindOf(key))?.delete(key);
       if (mark > this.revision) this.removed.set(key, mark);
     } else {
       const kind = kindOf(key);
+      const cell: Held = { value, mark };
       const group = this.held.get(kind);
-      if (group) group.set(key, { value, mark });
-      else this.held.set(kind, new Map([[key, { value, mark }]]));
+      this.cells.set(key, cell);
+      if (group) group.set(key, cell);
+      else this.held.set(kind, new Map([[key, cell]]));
     }
     if (key.startsWith(JOBS)) {
       if (value === undefined) this.jobs.delete(key.slice(JOBS.length));
       else this.jobs.set(key.slice(JOBS.length), value as JobRecord);
     }
+    if (key.startsWith(MACHINES)) {
+      if (value === undefined) this.machines.delete(key.slice(MACHINES.length));
+      else this.machines.set(key.slice(MACHINES.length), value as MachineRecord);
+    }
     if (key.startsWith(CHUNKS)) this.applyChunk(key, value as ChunkRecord | undefined);
     return true;
   }
@@ -156,12 +206,12 @@
     if (!name) return;
     const group = this.byJob.get(name.job);
     if (record === undefined) {
-      this.summaries.delete(key);
+      this.sums.delete(key);
       group?.delete(key);
       if (group?.size === 0) this.byJob.delete(name.job);
       return;
     }
-    this.summaries.set(key, summarize(name, record));
+    this.sums.set(key, new Sum(name, record));
     if (group) group.add(key);
     else this.byJob.set(name.job, new Set([key]));
   }
@@ -194,12 +244,10 @@
       if (!page.more) break;
     }
     const keys: string[] = [];
-    for (const group of this.held.values()) {
-      for (const [key, held] of group) {
-        if (seen.has(key) || held.mark > first) continue;
-        this.apply(key, undefined, first);
-        keys.push(key);
-      }
+    for (const [key, held] of this.cells) {
+      if (seen.has(key) || held.mark > first) continue;
+      this.apply(key, undefined, first);
+      keys.push(key);
     }
     for (const [key, held] of seen) {
       if (this.apply(key, held.value, held.mark)) keys.push(key);
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -63,7 +63,7 @@
 /** ms; pace of the leader's loops on a node that does not lead; taking the role wakes them. */
 export const LOOP_IDLE_MS = 2_000;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
-export const LOOP_GATHER_MS = 20;
+export const LOOP_GATHER_MS = 40;
 /** ms; placements of lower work wait this long for others: a fiftieth of a short task where writes
  * are scarce, hardly at all where they are not. */
 export const PLACE_GATHER_MS = { plenty: 60, scarce: 500, short: 1_200 };
@@ -77,11 +77,17 @@
 export const SWEEP_MS = 250;
 /** ms; a part writes what became of its machines this often at the most. */
 export const STATUS_PACE_MS = { plenty: 500, scarce: 2_000, short: 3_000 };
-/** ms; the leader's loop waits this long, since its rounds look at all machines and open jobs. */
-export const LEADER_GATHER_MS = 30;
+/** ms; the leader's loop waits this long, since its rounds look at all machines and open jobs: a
+ * tenth of a second of a start aim of some seconds, for ten rounds a second at the most. */
+export const LEADER_GATHER_MS = 100;
+/** ms; pace of the fleet's loop: a boot takes a hundred times as long. */
+export const FLEET_MS = 600;
+/** ms; the leader's sums are made anew this often: decimals added and taken back drift by 1e-13 a
+ * change, far below what a task takes. */
+export const LEDGER_REBUILD_MS = 10_000;
 /** Times its own processor time that a woken round rests, so that a large fleet's rounds leave most
  * of a slow processor to reports and answers. */
-export const LOOP_REST = 4;
+export const LOOP_REST = 9;
 /** ms; a node logs this often what it asked of the state service. */
 export const USE_LOG_MS = 20_000;
 /** ms; submissions that come within this time share a transaction; checks too, at the least. */
@@ -148,7 +154,7 @@
 /** Share of the state service's requests that all members' watches may take together. */
 export const WATCH_SHARE = 0.2;
 /** Share of them that all members' checks for users may take together. */
-export const CHECK_SHARE = 0.2;
+export const CHECK_SHARE = 0.1;
 /** Part of the usual spacing of watches that is kept where a peer says that there is news. */
 export const HURRY_SHARE = 0.25;
 /** Share of the cloud's request limit the leader uses; a late leader may still be sending. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -182,7 +182,7 @@
     const types = new Map(this.types().map((type) => [type.name, type]));
     const wall = this.clock.wall();
     const busy = new Set<string>();
-    for (const chunk of this.view.chunks().values()) {
+    for (const chunk of this.view.chunks()) {
       for (const name of chunk.on) busy.add(name);
     }
     const bootingNames = new Set(
@@ -251,15 +251,17 @@
       if (one.health === 'ok' && !one.spot) headroom += Math.max(0, one.cpus);
     }
     const drain: Slotted[] = [];
-    // The dearest room goes first.
-    const sorted = [...picture.machines].sort((a, b) => this.cpuPrice(b) - this.cpuPrice(a));
-    const dearest = sorted[0] ? this.cpuPrice(sorted[0]) : 0;
-    for (const machine of sorted) {
+    const idle: Slotted[] = [];
+    let dearest = 0;
+    for (const machine of picture.machines) {
+      dearest = Math.max(dearest, this.cpuPrice(machine));
       if (machine.health === 'faulty') drain.push(machine);
-      if (machine.health !== 'ok' || machine.tasks > 0) {
-        this.idleSince.delete(machine.name);
-        continue;
-      }
+      if (machine.health === 'ok' && machine.tasks === 0) idle.push(machine);
+      else this.idleSince.delete(machine.name);
+    }
+    // The dearest room goes first.
+    idle.sort((a, b) => this.cpuPrice(b) - this.cpuPrice(a));
+    for (const machine of idle) {
       const since = this.idleSince.get(machine.name) ?? now;
       this.idleSince.set(machine.name, since);
       // Cheap room is kept longer: what would be rented in its place is dearer.
@@ -277,8 +279,7 @@
   }
 
   private cpuPrice(machine: Slotted): number {
-    const types = this.types();
-    const type = types.find((one) => one.name === machine.type);
+    const type = this.types().find((one) => one.name === machine.type);
     return type ? (machine.spot ? type.spotPrice : type.price) / type.cpus : 0;
   }
 
@@ -501,7 +502,7 @@
       await this.mark(unknown, 'rented');
     }
     for (const one of listed) {
-      const record = this.view.get<MachineRecord>(machineKey(one.name))?.value;
+      const record = this.view.machine(one.name);
       if (one.state === 'failed' && record && record.state !== 'gone') this.failed.add(one.name);
     }
     await this.forgetGone(new Set(listed.map((one) => one.name)));
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,8 +1,6 @@
 import {
-  AGED_DEADLINES,
   ASSIGN_PACE_MS,
   BEGIN_SHARE,
-  BEGIN_WITHIN_S,
   CHUNK_TASK_BYTES,
   GUARDS_PER_OP,
   LATE_ROOM,
@@ -11,20 +9,11 @@
   URGENT_RESERVE,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
-import {
-  CATALOG,
-  JOBS,
-  MACHINES,
-  STATUSES,
-  chunkKey,
-  finalKey,
-  jobKey,
-} from '../bookkeeping/keys.js';
+import { CATALOG, MACHINES, STATUSES, chunkKey, finalKey, jobKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import { writeRanges } from '../bookkeeping/ranges.js';
 import type {
   ChunkRecord,
-  ChunkSummary,
   FinalRecord,
   JobRecord,
   MachineHealth,
@@ -36,6 +25,8 @@
 import { rankOf, type JobSpec, type MachineType } from '../protocol/terms.js';
 import type { Team } from '../protocol/settings.js';
 import type { Clock } from '../transport/clock.js';
+import { Ledger, URGENT, placeOf, type Usage } from './ledger.js';
+import { inTurn, type Open } from './order.js';
 import { partOf, type Member } from './rendezvous.js';
 
 /** A machine as the leader counts it. */
@@ -68,25 +59,6 @@
   unmet: Unmet[];
 }
 
-interface Usage {
-  cpus: number;
-  gpus: number;
-}
-
-interface Open {
-  id: string;
-  spec: JobSpec;
-  at: number;
-  chunks: ChunkSummary[];
-  unassigned: number;
-  /** Fits into its team's guarantee together with the team's earlier jobs. */
-  guaranteed: boolean;
-  /** 0: makes its deadline in this order; 1: would make others late, or is late already. */
-  tier: number;
-  /** Nothing of it has begun for so long that it comes before all others of its rank. */
-  overdue: boolean;
-}
-
 /** What waits in a part beyond its free room, and what its machines finish meanwhile. */
 interface Queue {
   part: string;
@@ -96,40 +68,6 @@
   endingCpus: number;
 }
 
-/** What a job still needs of the fleet until its deadline; times in seconds from now. */
-export interface Claim {
-  /** CPU seconds. */
-  work: number;
-  /** Run time of one task. */
-  runS: number;
-  dueS: number;
-}
-
-/**
- * Which claims to let be late so that most of them are in time (Moore and Hodgson): in the order
- * of their deadlines, and whenever one would be late, the largest so far steps back.
- */
-export function letBeLate(claims: readonly Claim[], cpus: number): Set<Claim> {
-  const late = new Set<Claim>();
-  const kept: Claim[] = [];
-  let work = 0;
-  for (const claim of [...claims].sort((a, b) => a.dueS - b.dueS)) {
-    if (claim.runS > claim.dueS) {
-      late.add(claim);
-      continue;
-    }
-    kept.push(claim);
-    work += claim.work;
-    while (kept.length > 0 && work / Math.max(1, cpus) > claim.dueS) {
-      const largest = kept.reduce((a, b) => (b.work > a.work ? b : a));
-      kept.splice(kept.indexOf(largest), 1);
-      work -= largest.work;
-      late.add(largest);
-    }
-  }
-  return late;
-}
-
 export interface LeaderOptions {
   term: number;
   roleKey: string;
@@ -184,6 +122,8 @@
   /** When a job last got some of its tasks assigned, and how many found no room then. */
   private readonly assigned = new Map<string, { at: number; short: number }>();
   private readonly parts = new Map<string, string>();
+  private readonly teams: ReadonlyMap<string, Team>;
+  private readonly ledger: Ledger;
   private busy = false;
   /** ms that the last round took, its waiting for the state service aside. */
   costMs = 0;
@@ -195,13 +135,22 @@
     private readonly committer: Committer,
     private readonly clock: Clock,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.teams = new Map(options.teams.map((team) => [team.name, team]));
+    this.ledger = new Ledger(view, clock);
+  }
+
+  /** A key of the view changed. */
+  changed(key: string): void {
+    this.ledger.changed(key);
+  }
 
-  /** One round; returns the parts for which something was written. */
+  /** One round; returns the parts for which something urgent was written. */
   async round(): Promise<Set<string>> {
     if (this.busy) return new Set();
     this.busy = true;
     try {
+      this.ledger.refresh();
       await this.finishJobs();
       return this.view.whole ? await this.assign() : new Set();
     } finally {
@@ -217,14 +166,12 @@
 
   private async finishJobs(): Promise<void> {
     const over: { id: string; mark: number; tasks: number }[] = [];
-    for (const [key, held] of this.view.below<JobRecord>(JOBS)) {
-      const { spec } = held.value;
-      if (spec.kind !== 'array') continue;
-      let done = 0;
-      for (const chunk of this.view.chunksOf(spec.id)) done += chunk.done;
-      if (done >= spec.tasks) {
-        over.push({ id: key.slice(JOBS.length), mark: held.mark, tasks: spec.tasks });
-      }
+    for (const id of this.ledger.ripe) {
+      const held = this.view.get<JobRecord>(jobKey(id));
+      const tasks = held?.value.spec.tasks ?? Infinity;
+      if (held && (this.ledger.jobs.get(id)?.done ?? 0) >= tasks) {
+        over.push({ id, mark: held.mark, tasks });
+      } else this.ledger.ripe.delete(id);
     }
     const perTxn = Math.max(1, Math.floor(this.options.txnOps / 2));
     for (let at = 0; at < over.length; at += perTxn) {
@@ -259,6 +206,7 @@
     ): void => {
       const type = types.get(typeName);
       if (!type) return;
+      const placed = this.ledger.machines.get(name);
       machines.set(name, {
         name,
         part,
@@ -266,11 +214,11 @@
         zone,
         spot,
         health,
-        cpus: type.cpus,
-        gpus: type.gpus,
-        memoryGb: type.memoryGb,
-        tasks: 0,
-        lowCpus: 0,
+        cpus: type.cpus - (placed?.cpus ?? 0),
+        gpus: type.gpus - (placed?.gpus ?? 0),
+        memoryGb: type.memoryGb - (placed?.memoryGb ?? 0),
+        tasks: placed?.tasks ?? 0,
+        lowCpus: placed?.lowCpus ?? 0,
       });
     };
     for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
@@ -282,7 +230,7 @@
     for (const [key, held] of this.view.below<StatusRecord>(STATUSES)) {
       const part = key.slice(STATUSES.length).split('/')[0] ?? '';
       for (const [name, [type, zone, spot, health]] of Object.entries(held.value.machines)) {
-        const word = this.view.get<MachineRecord>(`${MACHINES}${name}`)?.value.state;
+        const word = this.view.machine(name)?.state;
         if (word === 'drain' || word === 'gone') continue;
         add(name, part, type, zone, spot === 1, health);
       }
@@ -307,6 +255,7 @@
     const machines = this.machines();
     for (const name of this.parts.keys()) if (!machines.has(name)) this.parts.delete(name);
     const used = new Map<string, Usage>();
+    for (const [team, use] of this.ledger.teams) used.set(team, { ...use });
     const unmet: Unmet[] = [];
     const queues = new Map<string, Queue>();
     const open = this.openJobs(used, machines, queues, unmet);
@@ -317,14 +266,14 @@
     const urgentKeys = new Set<string>();
     for (const job of open) {
       if (job.unassigned === 0) continue;
-      const team = this.options.teams.find((one) => one.name === job.spec.team);
+      const team = this.teams.get(job.spec.team);
       const use = used.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
       used.set(job.spec.team, use);
       const room = { cpus: 0, gpus: 0, memoryGb: 0 };
       room.cpus = (team?.cpusMax ?? 0) - use.cpus;
       room.gpus = (team?.gpusMax ?? 0) - use.gpus;
       // Lower work leaves some of its team's limit to urgent work: nothing else makes room there.
-      if (rankOf(job.spec.priority) < rankOf('high')) {
+      if (rankOf(job.spec.priority) < URGENT) {
         room.cpus -= reserved.get(job.spec.team) ?? 0;
       }
       const allowed = Math.min(
@@ -334,7 +283,7 @@
       // Tasks that end one by one would each bring a chunk of their own: what follows them waits
       // until some have come together.
       const lately = this.assigned.get(job.id);
-      if (allowed > 0 && lately && rankOf(job.spec.priority) < rankOf('high')) {
+      if (allowed > 0 && lately && rankOf(job.spec.priority) < URGENT) {
         const count = Math.min(allowed, lately.short);
         if (count > 0) unmet.push({ spec: job.spec, count, at: job.at });
         continue;
@@ -351,7 +300,7 @@
       }
       const before = changes.length;
       const { given, roomless } = this.spreadOut(job, allowed, byPart, queues, changes);
-      if (rankOf(job.spec.priority) >= rankOf('high')) {
+      if (rankOf(job.spec.priority) >= URGENT) {
         for (const { key } of changes.slice(before)) urgentKeys.add(key);
       }
       use.cpus += job.spec.cpus * given;
@@ -381,7 +330,8 @@
       const result = await this.committer.commit(purpose, guards, group, this.options.alive);
       this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
       if (result.kind !== 'done') break;
-      for (const one of group) parts.add(one.key.split('/').at(-3) ?? '');
+      // Lower work queues ahead of its room: its parts see it with their next look.
+      if (urgent) for (const one of group) parts.add(one.key.split('/').at(-3) ?? '');
     }
     return parts;
   }
@@ -389,46 +339,27 @@
   /** CPUs of each team's limit that its urgent work may want at any moment. */
   private reserves(): Map<string, number> {
     const reserves = new Map<string, number>();
-    for (const [, held] of this.view.below<JobRecord>(JOBS)) {
-      const { spec } = held.value;
-      if (rankOf(spec.priority) < rankOf('high')) continue;
+    for (const { spec } of this.view.openJobs()) {
+      if (rankOf(spec.priority) < URGENT) continue;
       const cpus = spec.cpus * (spec.kind === 'service' ? spec.tasks : 1) * URGENT_RESERVE;
       reserves.set(spec.team, Math.max(reserves.get(spec.team) ?? 0, cpus));
     }
     return reserves;
   }
 
-  /** Jobs in the order of their turn, and what each team uses; takes room for what is assigned. */
+  /** Jobs in the order of their turn; takes room for what is assigned and waits. */
   private openJobs(
     used: Map<string, Usage>,
     machines: Map<string, Slotted>,
     queues: Map<string, Queue>,
     unmet: Unmet[],
   ): Open[] {
-    for (const chunk of this.view.chunks().values()) {
-      const active = chunk.ids.length - chunk.done;
-      const use = used.get(chunk.team) ?? { cpus: 0, gpus: 0 };
-      use.cpus += active * chunk.cpus;
-      use.gpus += active * chunk.gpus;
-      used.set(chunk.team, use);
-      const spec = this.view.job(chunk.job)?.spec;
-      const low = spec === undefined || rankOf(spec.priority) < rankOf('high');
-      for (const name of chunk.on) {
-        const machine = machines.get(name);
-        if (!machine) continue;
-        machine.cpus -= chunk.cpus;
-        machine.gpus -= chunk.gpus;
-        machine.memoryGb -= chunk.memoryGb;
-        machine.tasks++;
-        if (low) machine.lowCpus += chunk.cpus;
-      }
-    }
     let cpus = 0;
     const groups = new Map<string, Slotted[]>();
     for (const machine of machines.values()) {
       if (machine.health !== 'ok') continue;
       cpus += Math.max(0, machine.cpus) + machine.lowCpus;
-      const key = `${machine.part}\n${machine.zone}`;
+      const key = placeOf(machine.part, machine.zone);
       const group = groups.get(key);
       // Most machines of a busy fleet are full: those are not looked at again for each chunk.
       if (machine.cpus > 0) {
@@ -436,32 +367,47 @@
         else groups.set(key, [machine]);
       }
       const { part, zone } = machine;
-      if (!queues.has(key)) queues.set(key, { part, zone, waitingCpus: 0, endingCpus: 0 });
+      if (!queues.has(key)) {
+        const endingCpus = this.ledger.ending.get(key) ?? 0;
+        queues.set(key, { part, zone, waitingCpus: 0, endingCpus });
+      }
     }
     // Tasks that wait in a part take room there too, as first fit will give it to them.
-    for (const chunk of this.view.chunks().values()) {
-      let waiting = chunk.ids.length - chunk.done - chunk.liveCount;
+    for (const chunk of this.ledger.waiting.values()) {
       const job = this.view.job(chunk.job);
       if (!job) continue;
       const { spec, at } = job;
-      const key = `${chunk.part}\n${chunk.zone}`;
+      let { waiting } = chunk;
+      const key = placeOf(chunk.part, chunk.zone);
       const queue = queues.get(key);
-      if (queue && spec.kind === 'array') {
-        queue.endingCpus += (chunk.liveCount * chunk.cpus) / Math.max(1, spec.estimateS);
-      }
-      if (waiting === 0) continue;
-      for (const machine of groups.get(key) ?? []) {
+      const group = groups.get(key) ?? [];
+      let full = 0;
+      for (const machine of group) {
         if (waiting === 0) break;
         if (machine.cpus < spec.cpus || !mayUse(spec, machine)) continue;
         const count = Math.min(waiting, howMany(machine, spec));
         this.occupy(machine, spec, count);
         waiting -= count;
+        if (machine.cpus <= 0) full++;
+      }
+      if (full > group.length / 4) {
+        groups.set(
+          key,
+          group.filter((machine) => machine.cpus > 0),
+        );
       }
       if (waiting === 0) continue;
       if (queue) queue.waitingCpus += waiting * spec.cpus;
       unmet.push({ spec, count: waiting, at });
     }
-    return this.order(used, cpus * LATE_ROOM);
+    return inTurn(
+      this.view.openJobs(),
+      this.ledger.jobs,
+      this.teams,
+      used,
+      cpus * LATE_ROOM,
+      this.clock.wall(),
+    );
   }
 
   private occupy(machine: Slotted, spec: JobSpec, count: number): void {
@@ -472,87 +418,6 @@
     machine.tasks += count;
   }
 
-  private order(used: Map<string, Usage>, cpus: number): Open[] {
-    const jobs: Open[] = [];
-    const wall = this.clock.wall();
-    for (const [, held] of this.view.below<JobRecord>(JOBS)) {
-      const { spec, at } = held.value;
-      const chunks = this.view.chunksOf(spec.id);
-      let assigned = 0;
-      for (const chunk of chunks) assigned += chunk.ids.length;
-      jobs.push({
-        id: spec.id,
-        spec,
-        at,
-        chunks,
-        unassigned: Math.max(0, spec.tasks - assigned),
-        guaranteed: false,
-        tier: 0,
-        overdue: assigned === 0 && wall - at > BEGIN_WITHIN_S * 1000,
-      });
-    }
-    this.setTiers(jobs, cpus);
-    jobs.sort((a, b) => a.at - b.at);
-    const claimed = new Map<string, Usage>();
-    for (const job of jobs) {
-      const team = this.options.teams.find((one) => one.name === job.spec.team);
-      const claim = claimed.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
-      claim.cpus += job.spec.cpus * job.spec.tasks;
-      claim.gpus += job.spec.gpus * job.spec.tasks;
-      claimed.set(job.spec.team, claim);
-      job.guaranteed = claim.cpus <= (team?.cpus ?? 0) && claim.gpus <= (team?.gpus ?? 0);
-    }
-    const due = (job: Open): number =>
-      job.spec.deadlineS === null ? Infinity : job.at + job.spec.deadlineS * 1000;
-    const left = ({ spec, unassigned }: Open): number => unassigned * spec.cpus * spec.estimateS;
-    const share = (job: Open): number => {
-      const team = this.options.teams.find((one) => one.name === job.spec.team);
-      return (used.get(job.spec.team)?.cpus ?? 0) / Math.max(1, team?.cpus ?? 0);
-    };
-    return jobs
-      .filter((job) => job.unassigned > 0)
-      .sort(
-        (a, b) =>
-          rankOf(b.spec.priority) - rankOf(a.spec.priority) ||
-          Number(b.overdue) - Number(a.overdue) ||
-          (a.overdue ? a.at - b.at : 0) ||
-          Number(b.guaranteed) - Number(a.guaranteed) ||
-          a.tier - b.tier ||
-          // Of those that will be late the least work first: that lets most of them end soon.
-          (a.tier === 1 ? left(a) - left(b) : 0) ||
-          (due(a) === due(b) ? 0 : due(a) - due(b)) ||
-          share(a) - share(b) ||
-          a.at - b.at,
-      );
-  }
-
-  private setTiers(jobs: Open[], cpus: number): void {
-    const wall = this.clock.wall();
-    const claims = new Map<Claim, Open>();
-    for (const job of jobs) {
-      const { spec } = job;
-      if (spec.deadlineS === null) continue;
-      let done = 0;
-      let live = 0;
-      for (const chunk of job.chunks) {
-        done += chunk.done;
-        live += chunk.liveCount;
-      }
-      // What runs is half done on average.
-      const left = spec.tasks - done - live / 2;
-      const runS = Math.max(1, spec.estimateS);
-      const dueS = (job.at - wall) / 1000 + spec.deadlineS;
-      claims.set({ work: left * spec.cpus * runS, runS: live > 0 ? runS / 2 : runS, dueS }, job);
-    }
-    for (const claim of letBeLate([...claims.keys()], cpus)) {
-      const job = claims.get(claim);
-      // What has stepped back for long enough goes first: otherwise a large job whose team stays at
-      // its limit would never end.
-      const aged = job && claim.dueS < -(job.spec.deadlineS ?? 0) * AGED_DEADLINES;
-      if (job && !aged) job.tier = 1;
-    }
-  }
-
   /**
    * Gives up to `allowed` tasks to parts: as many as they have free room for and, of lower work,
    * what they will soon have room for. `roomless` of those `given` wait there for others to end.
@@ -567,7 +432,7 @@
     const { spec } = job;
     const rooms = new Map<string, { part: string; zone: string; count: number }>();
     const note = (machine: { part: string; zone: string }, count: number): void => {
-      const key = `${machine.part}\n${machine.zone}`;
+      const key = placeOf(machine.part, machine.zone);
       const room = rooms.get(key);
       if (room) room.count += count;
       else rooms.set(key, { part: machine.part, zone: machine.zone, count });
@@ -584,7 +449,7 @@
         if (busy) beside += count;
       }
     }
-    const urgent = rankOf(spec.priority) >= rankOf('high');
+    const urgent = rankOf(spec.priority) >= URGENT;
     if (rooms.size === 0 && urgent) {
       // No free room: the part may stop lower work for it.
       for (const machine of machines) {
@@ -696,7 +561,7 @@
   ): Map<string, number> {
     const { spec } = job;
     const active = new Map<string, number>();
-    for (const chunk of job.chunks) {
+    for (const chunk of this.view.chunksOf(job.id)) {
       const count = chunk.ids.length - chunk.done;
       if (count > 0) active.set(chunk.zone, (active.get(chunk.zone) ?? 0) + count);
     }
@@ -721,7 +586,7 @@
   /** Numbers of the job's tasks that are in no chunk, lowest first. */
   private freeIds(job: Open): number[] {
     const taken = new Uint8Array(job.spec.tasks);
-    for (const chunk of job.chunks) for (const id of chunk.ids) taken[id] = 1;
+    for (const chunk of this.view.chunksOf(job.id)) for (const id of chunk.ids) taken[id] = 1;
     const free: number[] = [];
     for (let id = 0; id < job.spec.tasks; id++) if (taken[id] === 0) free.push(id);
     return free;
--- /dev/null
+++ b/src/coordination/ledger.ts
@@ -0,0 +1,142 @@
+import { LEDGER_REBUILD_MS } from '../constants.js';
+import { CHUNKS, JOBS } from '../bookkeeping/keys.js';
+import type { ChunkSummary } from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import { rankOf, type JobSpec } from '../protocol/terms.js';
+import type { Clock } from '../transport/clock.js';
+
+/** From this rank on work is urgent: it takes room from what ranks below it. */
+export const URGENT = rankOf('high');
+
+export interface Usage {
+  cpus: number;
+  gpus: number;
+}
+
+/** What is placed on a machine. */
+export interface Placed {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  tasks: number;
+  /** CPUs of tasks that rank below `high`: what urgent work could take. */
+  lowCpus: number;
+}
+
+/** How far the tasks of a job are handed out. */
+export interface Progress {
+  assigned: number;
+  done: number;
+  live: number;
+}
+
+/** What one chunk counts for, kept so that exactly this can be taken back. */
+interface Entry {
+  chunk: ChunkSummary;
+  low: boolean;
+  /** CPUs that end in a second. */
+  ending: number;
+}
+
+/** Names the machines of a part in one zone. */
+export const placeOf = (part: string, zone: string): string => `${part}\n${zone}`;
+
+/**
+ * The leader's sums over all chunks, kept up with each change of one: a round then costs what is
+ * open and free, not what runs. They are made anew now and then, since sums of decimals drift.
+ */
+export class Ledger {
+  private entries = new Map<string, Entry>();
+  readonly machines = new Map<string, Placed>();
+  readonly teams = new Map<string, Usage>();
+  readonly jobs = new Map<string, Progress>();
+  /** CPUs of arrays that end in a second, by place. */
+  readonly ending = new Map<string, number>();
+  /** Chunks of open jobs with tasks that wait for a place. */
+  readonly waiting = new Map<string, ChunkSummary>();
+  /** Arrays that seem to be done. */
+  readonly ripe = new Set<string>();
+  private builtAt = -Infinity;
+
+  constructor(
+    private readonly view: View,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Called before a round. */
+  refresh(): void {
+    const now = this.clock.now();
+    if (now - this.builtAt < LEDGER_REBUILD_MS) return;
+    this.builtAt = now;
+    this.entries = new Map();
+    for (const sums of [this.machines, this.teams, this.jobs, this.ending, this.waiting]) {
+      sums.clear();
+    }
+    this.ripe.clear();
+    for (const key of this.view.chunkKeys()) this.add(key);
+  }
+
+  changed(key: string): void {
+    if (key.startsWith(CHUNKS)) this.renew(key);
+    else if (key.startsWith(JOBS)) {
+      for (const chunk of this.view.chunkKeysOf(key.slice(JOBS.length))) this.renew(chunk);
+    }
+  }
+
+  private renew(key: string): void {
+    const entry = this.entries.get(key);
+    if (entry) {
+      this.entries.delete(key);
+      this.waiting.delete(key);
+      this.count(entry, -1);
+    }
+    this.add(key);
+  }
+
+  private add(key: string): void {
+    const chunk = this.view.chunk(key);
+    if (!chunk) return;
+    const spec: JobSpec | null = this.view.job(chunk.job)?.spec ?? null;
+    const array = spec?.kind === 'array';
+    const entry: Entry = {
+      chunk,
+      low: spec === null || rankOf(spec.priority) < URGENT,
+      ending: array ? (chunk.liveCount * chunk.cpus) / Math.max(1, spec.estimateS) : 0,
+    };
+    this.entries.set(key, entry);
+    this.count(entry, 1);
+    if (spec && chunk.waiting > 0) this.waiting.set(key, chunk);
+    const done = this.jobs.get(chunk.job)?.done ?? 0;
+    if (array && done >= spec.tasks) this.ripe.add(chunk.job);
+  }
+
+  private count({ chunk, low, ending }: Entry, sign: 1 | -1): void {
+    let use = this.teams.get(chunk.team);
+    if (!use) this.teams.set(chunk.team, (use = { cpus: 0, gpus: 0 }));
+    use.cpus += sign * chunk.active * chunk.cpus;
+    use.gpus += sign * chunk.active * chunk.gpus;
+    let progress = this.jobs.get(chunk.job);
+    if (!progress) this.jobs.set(chunk.job, (progress = { assigned: 0, done: 0, live: 0 }));
+    progress.assigned += sign * chunk.ids.length;
+    progress.done += sign * chunk.done;
+    progress.live += sign * chunk.liveCount;
+    if (progress.assigned === 0) this.jobs.delete(chunk.job);
+    if (ending > 0) {
+      const place = placeOf(chunk.part, chunk.zone);
+      this.ending.set(place, (this.ending.get(place) ?? 0) + sign * ending);
+    }
+    for (const name of chunk.on) {
+      let placed = this.machines.get(name);
+      if (!placed) {
+        placed = { cpus: 0, gpus: 0, memoryGb: 0, tasks: 0, lowCpus: 0 };
+        this.machines.set(name, placed);
+      }
+      placed.cpus += sign * chunk.cpus;
+      placed.gpus += sign * chunk.gpus;
+      placed.memoryGb += sign * chunk.memoryGb;
+      placed.tasks += sign;
+      if (low) placed.lowCpus += sign * chunk.cpus;
+      if (placed.tasks === 0) this.machines.delete(name);
+    }
+  }
+}
--- a/src/coordination/machines.ts
+++ b/src/coordination/machines.ts
@@ -5,7 +5,7 @@
   SILENT_REPORTS,
   TOKEN_STEP,
 } from '../constants.js';
-import { CATALOG, machineKey } from '../bookkeeping/keys.js';
+import { CATALOG } from '../bookkeeping/keys.js';
 import type { MachineHealth, MachineRecord } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
 import type { MachineType, TaskReport, WorkerReport } from '../protocol/terms.js';
@@ -241,7 +241,7 @@
 
   /** The leader's word on a machine. */
   word(name: string): MachineRecord['state'] {
-    return this.view.get<MachineRecord>(machineKey(name))?.value.state ?? 'rented';
+    return this.view.machine(name)?.state ?? 'rented';
   }
 
   /** Whether tasks may be started on it. */
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -8,6 +8,7 @@
   DIRECT_AT_ONCE,
   DIRECT_SOCKETS,
   DIRECT_TIMEOUT_MS,
+  FLEET_MS,
   KEEP_ALIVE_MS,
   LEADER_GATHER_MS,
   LIST_PAGE,
@@ -163,7 +164,12 @@
       () => Math.max(LEADER_GATHER_MS / LOOP_REST, this.leader?.costMs ?? 0),
       leading,
     );
-    this.fleetLoop = this.loop('fleet', () => this.fleetRound(), undefined, leading);
+    this.fleetLoop = this.loop(
+      'fleet',
+      () => this.fleetRound(),
+      () => 0,
+      () => (this.leader ? FLEET_MS : LOOP_IDLE_MS),
+    );
     this.view.onChange((keys) => this.changed(keys));
   }
 
@@ -299,6 +305,7 @@
     let lead = false;
     for (const key of keys) {
       for (const part of this.parts.values()) if (part.changed(key)) parts = true;
+      this.leader?.changed(key);
       if (key.startsWith(ROLES) || key.startsWith(NODES)) roles = true;
       else if (!key.startsWith(ARMS)) lead = true;
     }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -69,7 +69,7 @@
   current: () => boolean;
   /** How far this node's writes to the state service reach. */
   gate: Pick<Gate, 'supply' | 'hasRoom'>;
-  /** Something was written that the leader waits for. */
+  /** Something urgent was written: the leader should not wait for its next look. */
   written: () => void;
 }
 
@@ -596,7 +596,7 @@
       }
       for (const one of written) this.stored(one);
       this.stir(machines);
-      this.options.written();
+      if (urgent) this.options.written();
       this.sendDirect();
     }
   }
@@ -641,7 +641,6 @@
       );
       if (result.kind !== 'done') return;
       this.statusSent.set(key, text);
-      this.options.written();
     }
   }
 
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -8,7 +8,8 @@
 import { VERSION } from '../src/constants.js';
 import { Bandit } from '../src/coordination/bandit.js';
 import { neverRuns } from '../src/coordination/front.js';
-import { howMany, letBeLate } from '../src/coordination/leader.js';
+import { howMany } from '../src/coordination/leader.js';
+import { letBeLate } from '../src/coordination/order.js';
 import { partOf } from '../src/coordination/rendezvous.js';
 import { fenceAt, graceMs, leaseMs } from '../src/coordination/roles.js';
 import { decodePeer, encodePeer, type PeerMessage } from '../src/protocol/peer-messages.js';
