Polls are answered by the watch; a node that stood still or has not heard gives no older answer

A retry of a known job was answered from the view, which in a cut or after standing still could be older than a confirmed cancellation; and an answer found out before standing still was given after it.

--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -65,6 +65,7 @@
   private readonly sums = new Map<string, Sum>();
   private readonly byJob = new Map<string, Set<string>>();
   private readonly listeners: ((keys: string[]) => void)[] = [];
+  private readonly freshListeners: ((sentAt: number) => void)[] = [];
   private stopped = false;
   private wake: (() => void) | null = null;
   /** A revision that a peer told of. */
@@ -94,6 +95,11 @@
     return this.loaded && this.revision >= this.wholeFrom;
   }
 
+  /** `listener` hears when each answered watch was sent: the view is as new as that. */
+  onFresh(listener: (sentAt: number) => void): void {
+    this.freshListeners.push(listener);
+  }
+
   onChange(listener: (keys: string[]) => void): void {
     this.listeners.push(listener);
   }
@@ -301,6 +307,7 @@
         }
         this.take(result.events, result.revision);
         this.freshAt = Math.max(this.freshAt, sentAt);
+        for (const listener of this.freshListeners) listener(sentAt);
         backoff.reset();
         await this.pause();
       } catch (error) {
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -60,6 +60,9 @@
 export const WATCH_GRACE_SHARE = 0.25;
 /** ms; pace of the roles' loops when nothing woke them. */
 export const LOOP_MS = 300;
+/** ms; pace of the loop that keeps this node's lease and takes free roles; changes of roles wake it.
+ * A third of the time between two renewals. */
+export const ROLES_MS = 500;
 /** ms; pace of the leader's loops on a node that does not lead; taking the role wakes them. */
 export const LOOP_IDLE_MS = 2_000;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
@@ -97,6 +100,9 @@
 export const SUBMIT_WAIT_MS = 5_000;
 /** ms; a poll may wait this long for its check before it is answered 503 (users wait 2 s). */
 export const POLL_LIMIT_MS = 1_700;
+/** ms; a poll waits this long for a watch sent after it came: two or three of them where there are
+ * changes all the time. Where there are none it asks the state service itself. */
+export const WATCHED_MS = 450;
 /** ms; a submission or cancellation may wait this long for its commit (users wait 5 s). */
 export const SUBMIT_LIMIT_MS = 4_200;
 /** s; what a user is told to wait before asking again. */
@@ -152,7 +158,7 @@
 /** What is left of a node's part of a limit after a refusal. */
 export const STATE_YIELD = 0.7;
 /** Share of the state service's requests that all members' watches may take together. */
-export const WATCH_SHARE = 0.2;
+export const WATCH_SHARE = 0.15;
 /** Share of them that all members' checks for users may take together. */
 export const CHECK_SHARE = 0.1;
 /** Part of the usual spacing of watches that is kept where a peer says that there is news. */
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -7,6 +7,7 @@
   SUBMIT_LIMIT_MS,
   SUBMIT_QUEUE,
   TXN_BYTES,
+  WATCHED_MS,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import type { Gate } from '../bookkeeping/gate.js';
@@ -81,6 +82,12 @@
 export class Front {
   private readonly checks: Check[] = [];
   private readonly submissions: Submission[] = [];
+  /** Polls that wait for a watch sent after they came. */
+  private readonly watching = new Set<{
+    from: number;
+    resolve: (fresh: boolean) => void;
+    cancel: () => void;
+  }>();
   private checking = false;
   private checkedAt = -Infinity;
   private committing = 0;
@@ -100,7 +107,9 @@
     private readonly committed: (jobs: string[]) => void,
     /** ms between two checking transactions: what comes meanwhile shares the next. */
     private readonly checkMs: number,
-  ) {}
+  ) {
+    view.onFresh((sentAt) => this.fresh(sentAt));
+  }
 
   get ready(): boolean {
     return this.view.loaded;
@@ -231,13 +240,49 @@
   async poll(id: string): Promise<HttpReply> {
     if (!isJobId(id)) return { status: 404, body: { error: 'no such job' } };
     if (!this.view.loaded) return later(503, 'starting');
-    const final = this.view.final(id);
-    const known = final ? this.describeFinal(final) : await this.check(id, POLL_LIMIT_MS);
+    const known = await this.newest(id);
     if (known === 'unsure') return later(503, 'state service does not answer');
     if (!known) return { status: 404, body: { error: 'no such job' } };
     return { status: 200, body: encodeJobView(id, known.state, known.done, known.running) };
   }
 
+  /**
+   * A job as the state service holds it now. What the view shows of an open job after a watch that
+   * was sent later than the question came is as good as an answer to the question itself, and costs
+   * no request; where changes are seldom, or the job is not in the view, the service is asked.
+   */
+  private async newest(id: string): Promise<Known | 'unsure'> {
+    const before = this.view.final(id);
+    if (before) return this.describeFinal(before);
+    if (this.view.job(id) && (await this.watched())) {
+      const final = this.view.final(id);
+      if (final) return this.describeFinal(final);
+      if (this.view.job(id)) return this.describeLive(id);
+    }
+    return this.check(id, POLL_LIMIT_MS - WATCHED_MS);
+  }
+
+  /** True once a watch that is sent from now on is answered; false: not soon. */
+  private watched(): Promise<boolean> {
+    return new Promise((resolve) => {
+      const one = { from: this.clock.now(), resolve, cancel: (): void => undefined };
+      one.cancel = this.clock.after(WATCHED_MS, () => {
+        this.watching.delete(one);
+        resolve(false);
+      });
+      this.watching.add(one);
+    });
+  }
+
+  private fresh(sentAt: number): void {
+    for (const one of this.watching) {
+      if (one.from > sentAt) continue;
+      this.watching.delete(one);
+      one.cancel();
+      one.resolve(true);
+    }
+  }
+
   private describeFinal(record: FinalRecord): NonNullable<Known> {
     const done = record.state === 'done' ? record.tasks : 0;
     return { state: record.state, done, running: 0, final: true };
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -24,6 +24,7 @@
   RELAY_TIMEOUT_MS,
   RESERVED_SOCKETS,
   RETRY_AFTER_S,
+  ROLES_MS,
   STATE_SOCKETS,
   STATE_TIMEOUT_MS,
   SUBMIT_WAIT_MS,
@@ -156,7 +157,12 @@
       spacing(CHECK_SHARE),
     );
     const leading = (): number => (this.leader ? LOOP_MS : LOOP_IDLE_MS);
-    this.rolesLoop = this.loop('roles', () => this.roles.round());
+    this.rolesLoop = this.loop(
+      'roles',
+      () => this.roles.round(),
+      () => 0,
+      () => ROLES_MS,
+    );
     this.partsLoop = this.loop('parts', () => this.partsRound());
     this.leaderLoop = this.loop(
       'leader',
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -160,6 +160,19 @@
       for (const worker of world.workers.values()) worker.repeatDirectMs = [];
     },
   },
+  {
+    name: 'nodes that stand still for seconds, for most of their grace and beyond it',
+    trouble: async (world) => {
+      for (const [at, seconds] of [6, 18, 40].entries()) {
+        void world.submit(`j-10000${at}`, { service: true, spot: false, tasks: 2 });
+        await world.run(5);
+        world.freeze(`n${at}`, seconds);
+        await world.run(4);
+        void world.cancel(`j-10000${at}`, `n${(at + 1) % 3}`);
+        await world.run(seconds + 6);
+      }
+    },
+  },
   {
     name: 'machines back at once that count anew',
     trouble: async (world) => {
@@ -258,6 +271,38 @@
   }
 });
 
+// A retry is answered from the state service too: a node that has not heard of the end told its user
+// that the job waits, after another had confirmed the cancellation.
+test('a node that has not heard of the end gives no older answer, nor one that stood still', async () => {
+  const world = new World(17);
+  world.addMachine('small', 'a', false, 500);
+  await world.run(6);
+  await settled(world, world.submit('j-000001', { tasks: 1, service: true, spot: false }));
+  await world.run(5);
+  world.state.refused.add('n0');
+  assert.equal(stage(await settled(world, world.cancel('j-000001', 'n1'))), 'withdrawn');
+  for (const ask of [
+    world.submit('j-000001', { tasks: 1, service: true }),
+    world.poll('j-000001'),
+  ]) {
+    const reply = await settled(world, ask);
+    assert.ok(reply.status === 503 || stage(reply) === 'withdrawn', JSON.stringify(reply));
+  }
+  world.state.refused.clear();
+  await world.run(5);
+  await settled(world, world.submit('j-000002', { tasks: 1, service: true, spot: false }));
+  await world.run(2);
+  // Asked before it stands still, answered after: whatever it found out then is old.
+  const asked = world.poll('j-000002');
+  await world.clock.run(world.clock.now() + 100);
+  world.freeze('n0', 10);
+  await world.run(2);
+  await settled(world, world.cancel('j-000002', 'n1'));
+  await world.run(15);
+  assert.equal((await asked).status, 503);
+  assert.equal(stage(await settled(world, world.poll('j-000002'))), 'withdrawn');
+});
+
 test('an owner that hears nothing new stops answering before a cancellation is due', async () => {
   const world = new World(8, [
     ['n0', 'a'],
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -133,9 +133,11 @@
       world.clock.after(4000, () => resolve(null));
       if (!reach || !entry) return;
       world.clock.after(1 + held, () => {
-        void entry.node.report(body).then((reply) => {
-          if (!world.cut(name, this.machine.name) && !this.deaf)
-            world.clock.after(1, () => resolve(reply));
+        world.at(name, () => {
+          void entry.node.report(body).then((reply) => {
+            if (!world.cut(name, this.machine.name) && !this.deaf)
+              world.clock.after(1, () => resolve(reply));
+          });
         });
       });
     });
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -3,6 +3,7 @@
 import { ControllerNode, type Outside } from '../../src/coordination/node.js';
 import { readSettings, type Settings } from '../../src/protocol/settings.js';
 import type { CloudApi } from '../../src/protocol/cloud-api.js';
+import type { PeerMessage } from '../../src/protocol/peer-messages.js';
 import type { Command, ListedMachine, MachineType } from '../../src/protocol/terms.js';
 import type { Log } from '../../src/bookkeeping/log.js';
 import type { DirectResult } from '../../src/protocol/worker-api.js';
@@ -108,6 +109,8 @@
   readonly starts: { task: string; machine: string; at: number }[] = [];
   /** Pairs "x>y" that can't reach each other; x and y are node or machine names. */
   readonly cuts = new Set<string>();
+  /** What waits for nodes that stand still. */
+  private readonly frozen = new Map<string, (() => void)[]>();
   /** Zone and kind of what the cloud still has; 0 refuses. */
   capacity = 20;
   /** The cloud takes nothing back. */
@@ -134,7 +137,25 @@
     return uniformInt(this.random, 0, most - 1);
   }
 
+  /** A node stands still while clocks run on: what comes for it meanwhile is handled on waking. */
+  freeze(name: string, seconds: number): void {
+    const held: (() => void)[] = [];
+    this.frozen.set(name, held);
+    this.clock.after(seconds * 1000, () => {
+      this.frozen.delete(name);
+      for (const run of held) run();
+    });
+  }
+
+  /** Runs what comes for a node, when it can. */
+  at(name: string, run: () => void): void {
+    const held = this.frozen.get(name);
+    if (held) held.push(run);
+    else run();
+  }
+
   boot(name: string): void {
+    this.frozen.delete(name);
     const zone = this.members.find(([one]) => one === name)?.[1] ?? 'a';
     let dead = false;
     const clock = {
@@ -142,14 +163,16 @@
       wall: () => this.clock.wall(),
       after: (delay: number, run: () => void) =>
         this.clock.after(delay, () => {
-          if (!dead) run();
+          this.at(name, () => {
+            if (!dead) run();
+          });
         }),
     };
     const guard = <T>(call: Promise<T>): Promise<T> =>
       new Promise((resolve, reject) => {
         call.then(
-          (value) => (dead ? undefined : resolve(value)),
-          (error: unknown) => (dead ? undefined : reject(error as Error)),
+          (value) => this.at(name, () => (dead ? undefined : resolve(value))),
+          (error: unknown) => this.at(name, () => (dead ? undefined : reject(error as Error))),
         );
       });
     const api = this.state.api(name);
@@ -174,11 +197,14 @@
       tellPeer: (peer, message) => {
         const other = this.nodes.get(peer);
         if (!other || this.cut(name, peer)) return false;
-        this.clock.after(2, () =>
-          other.node.heard(message, (reply) => {
-            this.clock.after(2, () => this.nodes.get(name)?.node.heard(reply, () => undefined));
-          }),
-        );
+        const back = (reply: PeerMessage): void => {
+          this.clock.after(2, () => {
+            this.at(name, () => this.nodes.get(name)?.node.heard(reply, () => undefined));
+          });
+        };
+        this.clock.after(2, () => {
+          this.at(peer, () => this.nodes.get(peer)?.node.heard(message, back));
+        });
         return true;
       },
     };
@@ -318,7 +344,9 @@
     };
     const node = this.nodes.get(at)?.node;
     if (!node) return Promise.resolve({ status: 0, body: null });
-    return node.serve('submit', '', JSON.stringify(body));
+    return new Promise((resolve) => {
+      this.at(at, () => void node.serve('submit', '', JSON.stringify(body)).then(resolve));
+    });
   }
 
   async cancel(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
@@ -331,7 +359,9 @@
   poll(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
     const node = this.nodes.get(at)?.node;
     return node
-      ? node.serve('poll', id, null).then(unwrap)
+      ? new Promise((resolve) => {
+          this.at(at, () => void node.serve('poll', id, null).then((one) => resolve(unwrap(one))));
+        })
       : Promise.resolve({ status: 0, body: null });
   }
 
