--- a/src/constants.ts
+++ b/src/constants.ts
@@ -85,6 +85,8 @@
 export const LEADER_GATHER_MS = 100;
 /** ms; pace of the fleet's loop: a boot takes a hundred times as long. */
 export const FLEET_MS = 600;
+/** ms; lower work that came within this time tells how much will: some dozens of jobs. */
+export const ARRIVALS_MS = 90_000;
 /** ms; the leader's sums are made anew this often: decimals added and taken back drift by 1e-13 a
  * change, far below what a task takes. */
 export const LEDGER_REBUILD_MS = 10_000;
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -251,6 +251,10 @@
       if (one.health === 'ok' && !one.spot) headroom += Math.max(0, one.cpus);
     }
     const drain: Slotted[] = [];
+    let spare = -this.neededCpus(picture);
+    for (const one of picture.machines) {
+      if (one.health === 'ok') spare += Math.max(0, one.cpus) + one.lowCpus;
+    }
     const idle: Slotted[] = [];
     let dearest = 0;
     for (const machine of picture.machines) {
@@ -269,6 +273,8 @@
       if (now - since < this.options.idleMs * keep) continue;
       const loss = machine.spot ? 0 : Math.max(0, machine.cpus);
       if (headroom - loss < this.options.headroomCpus && loss > 0) continue;
+      if (spare < machine.cpus) continue;
+      spare -= machine.cpus;
       headroom -= loss;
       drain.push(machine);
     }
@@ -415,9 +421,28 @@
       const rounds = Math.max(1, Math.floor((slackS - this.quickestBootS()) / runS) + 1);
       wanted.push({ spec, count: Math.ceil(beyond / rounds) });
     }
+    const { coming } = picture;
+    if (coming) {
+      const inHand = wanted.reduce((sum, one) => sum + one.count * one.spec.cpus, cpus);
+      const missing = this.neededCpus(picture) - inHand;
+      if (missing > 0) wanted.push({ spec: coming, count: Math.ceil(missing / coming.cpus) });
+    }
     return wanted;
   }
 
+  /**
+   * CPUs that lower work needs from now until machines rented now have been up for a while: what
+   * runs, what waits, and as much as came lately, since a boot takes longer than many a deadline.
+   */
+  private neededCpus(picture: Picture): number {
+    let work = 0;
+    for (const one of picture.machines) work += one.lowCpus * RUNNING_LEFT_S;
+    for (const { spec, count } of picture.unmet) {
+      if (spec.kind === 'array') work += count * spec.cpus * Math.max(1, spec.estimateS);
+    }
+    return work / (this.quickestBootS() * LATE_BOOTS) + picture.comingCpus;
+  }
+
   private quickestBootS(): number {
     const types = this.types();
     return types.reduce((least, type) => Math.min(least, type.bootS), Infinity);
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -9,7 +9,15 @@
   URGENT_RESERVE,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
-import { CATALOG, MACHINES, STATUSES, chunkKey, finalKey, jobKey } from '../bookkeeping/keys.js';
+import {
+  CATALOG,
+  JOBS,
+  MACHINES,
+  STATUSES,
+  chunkKey,
+  finalKey,
+  jobKey,
+} from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import { writeRanges } from '../bookkeeping/ranges.js';
 import type {
@@ -25,7 +33,7 @@
 import { rankOf, type JobSpec, type MachineType } from '../protocol/terms.js';
 import type { Team } from '../protocol/settings.js';
 import type { Clock } from '../transport/clock.js';
-import { Ledger, URGENT, placeOf, type Usage } from './ledger.js';
+import { Arrivals, Ledger, URGENT, placeOf, type Usage } from './ledger.js';
 import { inTurn, type Open } from './order.js';
 import { partOf, type Member } from './rendezvous.js';
 
@@ -57,6 +65,9 @@
 export interface Picture {
   machines: Slotted[];
   unmet: Unmet[];
+  /** CPUs that lower work takes if it goes on coming as lately, and its last kind of task. */
+  comingCpus: number;
+  coming: JobSpec | null;
 }
 
 /** What waits in a part beyond its free room, and what its machines finish meanwhile. */
@@ -124,10 +135,11 @@
   private readonly parts = new Map<string, string>();
   private readonly teams: ReadonlyMap<string, Team>;
   private readonly ledger: Ledger;
+  private readonly arrivals: Arrivals;
   private busy = false;
   /** ms that the last round took, its waiting for the state service aside. */
   costMs = 0;
-  picture: Picture = { machines: [], unmet: [] };
+  picture: Picture = { machines: [], unmet: [], comingCpus: 0, coming: null };
 
   constructor(
     private readonly options: LeaderOptions,
@@ -138,11 +150,13 @@
   ) {
     this.teams = new Map(options.teams.map((team) => [team.name, team]));
     this.ledger = new Ledger(view, clock);
+    this.arrivals = new Arrivals(view, clock);
   }
 
   /** A key of the view changed. */
   changed(key: string): void {
     this.ledger.changed(key);
+    if (key.startsWith(JOBS)) this.arrivals.changed(key.slice(JOBS.length));
   }
 
   /** One round; returns the parts for which something urgent was written. */
@@ -311,7 +325,12 @@
     }
     for (const job of this.limited) if (this.view.job(job)) limited.add(job);
     this.limited = limited;
-    this.picture = { machines: [...machines.values()], unmet };
+    this.picture = {
+      machines: [...machines.values()],
+      unmet,
+      comingCpus: this.arrivals.cpus,
+      coming: this.arrivals.last,
+    };
     this.costMs = this.clock.now() - startedAt;
     const parts = new Set<string>();
     for (let at = 0; at < changes.length; at += this.options.txnOps) {
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -1,4 +1,4 @@
-import { LEDGER_REBUILD_MS } from '../constants.js';
+import { ARRIVALS_MS, LEDGER_REBUILD_MS } from '../constants.js';
 import { CHUNKS, JOBS } from '../bookkeeping/keys.js';
 import type { ChunkSummary } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
@@ -38,6 +38,47 @@
   ending: number;
 }
 
+/** What comes of lower work, by the jobs of the last minutes: the fleet should be ready for as much. */
+export class Arrivals {
+  private readonly known = new Set<string>();
+  private readonly late: { at: number; work: number }[] = [];
+  private readonly from: number;
+  /** The kind of task that came last. */
+  last: JobSpec | null = null;
+
+  constructor(
+    private readonly view: View,
+    private readonly clock: Clock,
+  ) {
+    this.from = clock.now();
+    // What is there already came some time ago: it is not counted, but known.
+    for (const { spec } of view.openJobs()) this.known.add(spec.id);
+  }
+
+  changed(job: string): void {
+    const spec = this.view.job(job)?.spec;
+    if (!spec) {
+      this.known.delete(job);
+      return;
+    }
+    if (this.known.has(job)) return;
+    this.known.add(job);
+    if (spec.kind !== 'array' || rankOf(spec.priority) >= URGENT) return;
+    this.last = spec;
+    const work = spec.tasks * spec.cpus * Math.max(1, spec.estimateS);
+    this.late.push({ at: this.clock.now(), work });
+  }
+
+  /** CPUs that run all the time if it goes on like this. */
+  get cpus(): number {
+    const now = this.clock.now();
+    while (this.late[0] && now - this.late[0].at > ARRIVALS_MS) this.late.shift();
+    const span = Math.min(ARRIVALS_MS, now - this.from);
+    if (span < ARRIVALS_MS / 3) return 0;
+    return this.late.reduce((sum, one) => sum + one.work, 0) / (span / 1000);
+  }
+}
+
 /** Names the machines of a part in one zone. */
 export const placeOf = (part: string, zone: string): string => `${part}\n${zone}`;
 
