--- a/src/constants.ts
+++ b/src/constants.ts
@@ -216,6 +216,9 @@
 export const GONE_KEEP_MS = 300_000;
 /** Silent machines returned at once at the most: more of them look like a cut, not like deaths. */
 export const SILENT_RETURN_MAX = 2;
+/** ms; a machine must be seen silent for so long before it counts as one of few: the words of other
+ * parts take two rounds of theirs. */
+export const SILENT_SETTLE_MS = 1_500;
 /** Share of the fleet that may be returned for silence in that span, once silent for a lease. */
 export const SILENT_RETURN_SHARE = 0.1;
 /** ms; the span within which no more than that many silent machines are returned. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -15,6 +15,7 @@
   SILENT_RETURN_MAX,
   SILENT_RETURN_PERIOD_MS,
   SILENT_RETURN_SHARE,
+  SILENT_SETTLE_MS,
   STUCK_BOOTS,
   STUCK_LEAST_MS,
 } from '../constants.js';
@@ -230,7 +231,9 @@
       Math.floor(picture.machines.length * SILENT_RETURN_SHARE),
     );
     for (const [name, since] of this.silentSince) {
-      if (!few && now - since < this.options.leaseS * 1000) continue;
+      // Parts tell of their machines one after the other: a cut shows only when all have.
+      const wait = few ? SILENT_SETTLE_MS : this.options.leaseS * 1000;
+      if (now - since < wait) continue;
       if (!this.silentReturns.has(name)) {
         if (this.silentReturns.size >= most) continue;
         this.silentReturns.set(name, now);
