--- a/src/constants.ts
+++ b/src/constants.ts
@@ -60,6 +60,9 @@
 export const WATCH_GRACE_SHARE = 0.25;
 /** ms; pace of the roles' loops when nothing woke them. */
 export const LOOP_MS = 300;
+/** ms; pace of the loop that keeps this node's lease and takes free roles; changes of roles wake it.
+ * A third of the time between two renewals. */
+export const ROLES_MS = 500;
 /** ms; pace of the leader's loops on a node that does not lead; taking the role wakes them. */
 export const LOOP_IDLE_MS = 2_000;
 /** ms; a loop woken by changes waits this long, so that changes close together share a round. */
@@ -82,6 +85,10 @@
 export const LEADER_GATHER_MS = 100;
 /** ms; pace of the fleet's loop: a boot takes a hundred times as long. */
 export const FLEET_MS = 600;
+/** ms; lower work that came within this time tells how much will: some dozens of jobs. */
+export const ARRIVALS_MS = 90_000;
+/** Part of it that the fleet is kept ready for: with all of it the price rose by a seventh. */
+export const COMING_SHARE = 0.8;
 /** ms; the leader's sums are made anew this often: decimals added and taken back drift by 1e-13 a
  * change, far below what a task takes. */
 export const LEDGER_REBUILD_MS = 10_000;
@@ -97,6 +104,9 @@
 export const SUBMIT_WAIT_MS = 5_000;
 /** ms; a poll may wait this long for its check before it is answered 503 (users wait 2 s). */
 export const POLL_LIMIT_MS = 1_700;
+/** ms; a poll waits this long for a watch sent after it came: two or three of them where there are
+ * changes all the time. Where there are none it asks the state service itself. */
+export const WATCHED_MS = 450;
 /** ms; a submission or cancellation may wait this long for its commit (users wait 5 s). */
 export const SUBMIT_LIMIT_MS = 4_200;
 /** s; what a user is told to wait before asking again. */
@@ -152,7 +162,7 @@
 /** What is left of a node's part of a limit after a refusal. */
 export const STATE_YIELD = 0.7;
 /** Share of the state service's requests that all members' watches may take together. */
-export const WATCH_SHARE = 0.2;
+export const WATCH_SHARE = 0.15;
 /** Share of them that all members' checks for users may take together. */
 export const CHECK_SHARE = 0.1;
 /** Part of the usual spacing of watches that is kept where a peer says that there is news. */
@@ -208,6 +218,9 @@
 export const GONE_KEEP_MS = 300_000;
 /** Silent machines returned at once at the most: more of them look like a cut, not like deaths. */
 export const SILENT_RETURN_MAX = 2;
+/** ms; a machine must be seen silent for so long before it counts as one of few: the words of other
+ * parts take two rounds of theirs. */
+export const SILENT_SETTLE_MS = 1_500;
 /** Share of the fleet that may be returned for silence in that span, once silent for a lease. */
 export const SILENT_RETURN_SHARE = 0.1;
 /** ms; the span within which no more than that many silent machines are returned. */
