--- a/src/bookkeeping/committer.ts
+++ b/src/bookkeeping/committer.ts
@@ -12,7 +12,9 @@
   /** These keys are not as the guards said; the view has been read anew for them. */
   | { kind: 'conflict'; failed: string[] }
   /** Not carried out, and no longer tried; `unsure`: it may still be carried out. */
-  | { kind: 'givenUp'; unsure: boolean };
+  | { kind: 'givenUp'; unsure: boolean }
+  /** A try had no answer, and by now is known neither to have been carried out nor ever to be. */
+  | { kind: 'settled' };
 
 /**
  * Carries transactions out to a known end. A transaction without an answer may be applied late, so
@@ -29,12 +31,17 @@
     private readonly random: () => number,
   ) {}
 
-  /** `wanted` is asked before each try; when it says no, the transaction is given up. */
+  /**
+   * `wanted` is asked before each try; when it says no, the transaction is given up. `settle` makes a
+   * try without an answer powerless unless it was carried out; false: it could not. It is for what
+   * may be used up and removed before a late copy comes: the guards would then let the copy pass.
+   */
   async commit(
     purpose: Purpose,
     guards: Guard[],
     changes: Change[],
     wanted: () => boolean,
+    settle?: () => Promise<boolean>,
   ): Promise<CommitResult> {
     let unsure = false;
     const backoff = new Backoff(BACKOFF_FIRST_MS, BACKOFF_LAST_MS, this.random);
@@ -62,11 +69,34 @@
           unsure = true;
         }
         this.log.debug({ error: String(error), purpose }, 'transaction failed, trying again');
+        if (unsure && settle) return this.end(purpose, changes, wanted, settle);
         await sleep(this.clock, backoff.next());
       }
     }
   }
 
+  /** Brings a transaction whose try had no answer to its end without trying it again. */
+  private async end(
+    purpose: Purpose,
+    changes: Change[],
+    wanted: () => boolean,
+    settle: () => Promise<boolean>,
+  ): Promise<CommitResult> {
+    if (!(await settle())) return { kind: 'givenUp', unsure: true };
+    const backoff = new Backoff(BACKOFF_FIRST_MS, BACKOFF_LAST_MS, this.random);
+    while (wanted()) {
+      try {
+        for (const change of changes) await this.reread(purpose, change.key);
+        const done = changes.every((change) => this.reflects(change));
+        return done ? { kind: 'done' } : { kind: 'settled' };
+      } catch (error) {
+        this.log.debug({ error: String(error), purpose }, 'not read, trying again');
+        await sleep(this.clock, backoff.next());
+      }
+    }
+    return { kind: 'givenUp', unsure: false };
+  }
+
   private adopt(changes: Change[], revision: number): void {
     this.view.applyOwn(
       changes.map((change) => ({
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -50,6 +50,9 @@
 export const CLOUD_BACKOFF_LAST_MS = 8_000;
 /** ms; a node leaves a role to its home member this long after the member came up. */
 export const HOME_SETTLE_MS = 500;
+/** ms; a role that came from another node longer ago, by the time of day, has no former owner that
+ * still answers: far longer than any grace, skew and delay of a transaction together. */
+export const MOVED_LONG_MS = 300_000;
 /** ms; safety on top of computed lease ends: timers fire late and answers take time. */
 export const LEASE_MARGIN_MS = 1_000;
 /** s; what must remain between the end of the last possible lease and `cancel_s`. */
@@ -206,6 +209,11 @@
 export const BEGIN_WITHIN_S = 100;
 /** Share of a job's tasks that come first for that reason; the rest keeps its turn. */
 export const BEGIN_SHARE = 0.05;
+/** ms; a job of lower work of which nothing ran for so long may use what its team's limit keeps for
+ * urgent work: far less than users let a job wait in front of free machines. */
+export const STARVED_MS = 30_000;
+/** Share of its tasks that may do so at a time. */
+export const STARVED_SHARE = 0.25;
 /** Report intervals without a report after which a machine takes no new tasks. */
 export const SILENT_REPORTS = 3;
 /** Machines in one status record: keeps it far below the smallest value limit. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -20,7 +20,6 @@
   STUCK_BOOTS,
   STUCK_LEAST_MS,
 } from '../constants.js';
-import type { Committer } from '../bookkeeping/committer.js';
 import { CATALOG, MACHINES, machineKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { MachineRecord, MachineState } from '../bookkeeping/records.js';
@@ -31,12 +30,12 @@
 import { Backoff } from '../transport/backoff.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
+import type { Tenure } from './tenure.js';
 import { howMany, mayUse, type Picture, type Slotted, type Unmet } from './leader.js';
 
 export interface FleetOptions {
   term: number;
-  roleKey: string;
-  roleMark: number;
+  tenure: Tenure;
   txnOps: number;
   cloudRps: number;
   listLagS: number;
@@ -45,7 +44,6 @@
   headroomCpus: number;
   spot: boolean;
   maxMachines: number;
-  alive: () => boolean;
 }
 
 interface Room {
@@ -83,7 +81,6 @@
   constructor(
     private readonly options: FleetOptions,
     private readonly view: View,
-    private readonly committer: Committer,
     private readonly cloud: CloudApi,
     private readonly clock: Clock,
     private readonly log: Log,
@@ -130,16 +127,8 @@
     this.catalogAt = now;
     const held = this.view.get<MachineType[]>(CATALOG);
     if (JSON.stringify(held?.value) === JSON.stringify(types)) return;
-    const guards = [
-      { key: this.options.roleKey, mark: this.options.roleMark },
-      { key: CATALOG, mark: held?.mark ?? 0 },
-    ];
-    await this.committer.commit(
-      'leader',
-      guards,
-      [{ key: CATALOG, value: types }],
-      this.options.alive,
-    );
+    const guards = [{ key: CATALOG, mark: held?.mark ?? 0 }];
+    await this.options.tenure.commit('leader', guards, [{ key: CATALOG, value: types }]);
   }
 
   /** Writes the leader's word on machines; false: not written. */
@@ -148,7 +137,7 @@
     state: MachineState,
   ): Promise<boolean> {
     for (let at = 0; at < machines.length; at += this.options.txnOps) {
-      const guards: Guard[] = [{ key: this.options.roleKey, mark: this.options.roleMark }];
+      const guards: Guard[] = [];
       const changes: Change[] = [];
       for (const { name, type, zone, spot } of machines.slice(at, at + this.options.txnOps)) {
         const key = machineKey(name);
@@ -156,7 +145,7 @@
         guards.push({ key, mark: this.view.markOf(key) });
         changes.push({ key, value });
       }
-      const result = await this.committer.commit('leader', guards, changes, this.options.alive);
+      const result = await this.options.tenure.commit('leader', guards, changes);
       if (result.kind !== 'done') return false;
     }
     return true;
@@ -541,15 +530,13 @@
   private async forgetGone(listed: Set<string>): Promise<void> {
     const wall = this.clock.wall();
     const changes: Change[] = [];
-    const guards: Guard[] = [{ key: this.options.roleKey, mark: this.options.roleMark }];
+    const guards: Guard[] = [];
     for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
       if (held.value.state !== 'gone' || listed.has(key.slice(MACHINES.length))) continue;
       if (wall - held.value.at < GONE_KEEP_MS || changes.length >= this.options.txnOps) continue;
       guards.push({ key, mark: held.mark });
       changes.push({ key, remove: true });
     }
-    if (changes.length > 0) {
-      await this.committer.commit('leader', guards, changes, this.options.alive);
-    }
+    if (changes.length > 0) await this.options.tenure.commit('leader', guards, changes);
   }
 }
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -103,8 +103,8 @@
     private readonly committer: Committer,
     private readonly clock: Clock,
     private readonly log: Log,
-    /** Told of the jobs of each commit. */
-    private readonly committed: (jobs: string[]) => void,
+    /** Told of the jobs of each commit; `cancelled`: they are over by it. */
+    private readonly committed: (jobs: string[], cancelled?: { tasks: number }) => void,
     /** ms between two checking transactions: what comes meanwhile shares the next. */
     private readonly checkMs: number,
   ) {
@@ -217,7 +217,7 @@
         this.committed(group.map((one) => one.spec.id));
         return;
       }
-      if (result.kind === 'givenUp') {
+      if (result.kind !== 'conflict') {
         for (const one of group) this.settle(one, 'unsure');
         return;
       }
@@ -408,7 +408,7 @@
         () => this.clock.now() < deadline,
       );
       if (result.kind === 'done') {
-        this.committed([id]);
+        this.committed([id], { tasks: value.tasks });
         return { status: 200, body: encodeJobState(id, 'cancelled') };
       }
       if (result.kind === 'givenUp') break;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -2,13 +2,13 @@
   ASSIGN_PACE_MS,
   BEGIN_SHARE,
   CHUNK_TASK_BYTES,
-  GUARDS_PER_OP,
   LATE_ROOM,
   QUEUE_REFILL,
   QUEUE_S,
+  STARVED_MS,
+  STARVED_SHARE,
   URGENT_RESERVE,
 } from '../constants.js';
-import type { Committer } from '../bookkeeping/committer.js';
 import {
   CATALOG,
   JOBS,
@@ -36,6 +36,7 @@
 import { Arrivals, Ledger, URGENT, placeOf, type Usage } from './ledger.js';
 import { inTurn, type Open } from './order.js';
 import { partOf, type Member } from './rendezvous.js';
+import type { Tenure } from './tenure.js';
 
 /** A machine as the leader counts it. */
 export interface Slotted {
@@ -81,13 +82,11 @@
 
 export interface LeaderOptions {
   term: number;
-  roleKey: string;
-  roleMark: number;
+  tenure: Tenure;
   txnOps: number;
   valueBytes: number;
   teams: readonly Team[];
   members: readonly Member[];
-  alive: () => boolean;
 }
 
 const need = (spec: { cpus: number; gpus: number; memoryGb: number }, times: number) => ({
@@ -132,6 +131,8 @@
   private limited = new Set<string>();
   /** When a job last got some of its tasks assigned, and how many found no room then. */
   private readonly assigned = new Map<string, { at: number; short: number }>();
+  /** When something of a job ran or was handed out last, as far as this leader saw. */
+  private readonly servedAt = new Map<string, number>();
   private readonly parts = new Map<string, string>();
   private readonly teams: ReadonlyMap<string, Team>;
   private readonly ledger: Ledger;
@@ -144,7 +145,6 @@
   constructor(
     private readonly options: LeaderOptions,
     private readonly view: View,
-    private readonly committer: Committer,
     private readonly clock: Clock,
     private readonly log: Log,
   ) {
@@ -172,10 +172,6 @@
     }
   }
 
-  private guards(): Guard[] {
-    return [{ key: this.options.roleKey, mark: this.options.roleMark }];
-  }
-
   // --- Ending jobs ---------------------------------------------------------------------------
 
   private async finishJobs(): Promise<void> {
@@ -190,14 +186,14 @@
     const perTxn = Math.max(1, Math.floor(this.options.txnOps / 2));
     for (let at = 0; at < over.length; at += perTxn) {
       const group = over.slice(at, at + perTxn);
-      const guards = this.guards();
+      const guards: Guard[] = [];
       const changes: Change[] = [];
       for (const { id, mark, tasks } of group) {
         const value: FinalRecord = { state: 'done', tasks };
         guards.push({ key: jobKey(id), mark });
         changes.push({ key: jobKey(id), remove: true }, { key: finalKey(id), value });
       }
-      const result = await this.committer.commit('leader', guards, changes, this.options.alive);
+      const result = await this.options.tenure.commit('leader', guards, changes);
       this.log.info({ jobs: group.map((one) => one.id), result: result.kind }, 'jobs done');
       if (result.kind === 'givenUp') return;
     }
@@ -286,14 +282,18 @@
       const room = { cpus: 0, gpus: 0, memoryGb: 0 };
       room.cpus = (team?.cpusMax ?? 0) - use.cpus;
       room.gpus = (team?.gpusMax ?? 0) - use.gpus;
+      let wanted = job.overdue ? Math.ceil(job.spec.tasks * BEGIN_SHARE) : job.unassigned;
       // Lower work leaves some of its team's limit to urgent work: nothing else makes room there.
+      // Where services fill all but this reserve, it would wait for ever in front of free machines:
+      // after a while some of it comes first.
       if (rankOf(job.spec.priority) < URGENT) {
-        room.cpus -= reserved.get(job.spec.team) ?? 0;
+        const reserve = reserved.get(job.spec.team) ?? 0;
+        if (!this.starves(job, startedAt)) room.cpus -= reserve;
+        else if (howMany({ ...room, cpus: room.cpus - reserve }, job.spec) === 0) {
+          wanted = Math.min(wanted, Math.ceil(job.spec.tasks * STARVED_SHARE));
+        }
       }
-      const allowed = Math.min(
-        job.overdue ? Math.ceil(job.spec.tasks * BEGIN_SHARE) : job.unassigned,
-        howMany(room, { ...need(job.spec, 1), memoryGb: 0 }),
-      );
+      const allowed = Math.min(wanted, howMany(room, { ...need(job.spec, 1), memoryGb: 0 }));
       // Tasks that end one by one would each bring a chunk of their own: what follows them waits
       // until some have come together.
       const lately = this.assigned.get(job.id);
@@ -320,9 +320,13 @@
       use.cpus += job.spec.cpus * given;
       use.gpus += job.spec.gpus * given;
       const short = allowed - given + roomless;
-      if (given > 0) this.assigned.set(job.id, { at: startedAt, short: allowed - given });
+      if (given > 0) {
+        this.assigned.set(job.id, { at: startedAt, short: allowed - given });
+        this.servedAt.set(job.id, startedAt);
+      }
       if (short > 0) unmet.push({ spec: job.spec, count: short, at: job.at });
     }
+    for (const job of this.servedAt.keys()) if (!this.view.job(job)) this.servedAt.delete(job);
     for (const job of this.limited) if (this.view.job(job)) limited.add(job);
     this.limited = limited;
     this.picture = {
@@ -336,17 +340,16 @@
     for (let at = 0; at < changes.length; at += this.options.txnOps) {
       const group = changes.slice(at, at + this.options.txnOps);
       const jobs = new Set(group.map((one) => one.key.split('/').at(-2) ?? ''));
-      const guards = this.guards();
-      for (const one of group) guards.push({ key: one.key, mark: 0 });
-      // A job that is cancelled meanwhile gets no chunk.
-      for (const job of jobs) {
-        if (guards.length < this.options.txnOps * GUARDS_PER_OP) {
-          guards.push({ key: jobKey(job), mark: this.view.markOf(jobKey(job)) });
-        }
-      }
+      const guards: Guard[] = group.map((one) => ({ key: one.key, mark: 0 }));
+      // A job that is cancelled meanwhile gets no chunk. With the role that is at most two guards
+      // a change and one more, and a transaction holds four.
+      for (const job of jobs)
+        guards.push({ key: jobKey(job), mark: this.view.markOf(jobKey(job)) });
       const urgent = group.some((one) => urgentKeys.has(one.key));
       const purpose = urgent ? 'urgent' : 'leader';
-      const result = await this.committer.commit(purpose, guards, group, this.options.alive);
+      // A part may use a chunk up and remove it within seconds; a late copy of this transaction must
+      // not make it a second time, for its tasks may be in another chunk by then.
+      const result = await this.options.tenure.commit(purpose, guards, group, true);
       this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
       if (result.kind !== 'done') break;
       // Lower work queues ahead of its room: its parts see it with their next look.
@@ -355,6 +358,14 @@
     return parts;
   }
 
+  /** Whether nothing of a job has run or been handed out for a while. */
+  private starves(job: Open, now: number): boolean {
+    const since = this.servedAt.get(job.id);
+    if (since !== undefined && job.live === 0) return now - since > STARVED_MS;
+    this.servedAt.set(job.id, now);
+    return false;
+  }
+
   /** CPUs of each team's limit that its urgent work may want at any moment. */
   private reserves(): Map<string, number> {
     const reserves = new Map<string, number>();
--- a/src/coordination/machines.ts
+++ b/src/coordination/machines.ts
@@ -42,6 +42,8 @@
   proven: boolean;
   /** Steady time of the last report that did. */
   provenAt: number;
+  /** Steady time of the last newer report that came by itself, not in answer to a call. */
+  reportedAt: number;
   /** Steady time of our first answer since then, and how many there were. */
   askedAt: number;
   asked: number;
@@ -127,6 +129,7 @@
       observedAt: now,
       proven: false,
       provenAt: now,
+      reportedAt: now,
       askedAt: now,
       asked: 0,
       answeredAt: now,
@@ -200,6 +203,7 @@
     machine.session = report.session;
     machine.seq = report.seq;
     machine.observedAt = now;
+    if (askedAt === null) machine.reportedAt = now;
     machine.ours = report.token >= this.baseToken + machine.firstBump;
     if (machine.ours) machine.bump = Math.max(machine.bump, report.token - this.baseToken);
     machine.proven = shows;
@@ -252,7 +256,9 @@
   health(machine: Machine): MachineHealth {
     if (machine.leaving) return 'leaving';
     if (machine.errors.size >= FAULTY_ERRORS) return 'faulty';
-    const silentMs = this.clock.now() - machine.provenAt;
+    // Answers to calls renew no lease: a machine whose reports don't reach us loses its tasks, and
+    // what is started there by calls as well.
+    const silentMs = this.clock.now() - Math.min(machine.provenAt, machine.reportedAt);
     return silentMs > this.options.reportS * 1000 * SILENT_REPORTS ? 'silent' : 'ok';
   }
 
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -36,12 +36,19 @@
 } from '../constants.js';
 import { Committer } from '../bookkeeping/committer.js';
 import { Gate } from '../bookkeeping/gate.js';
-import { ARMS, NODES, ROLES, roleKey } from '../bookkeeping/keys.js';
+import { ARMS, NODES, ROLES, finalKey, jobKey, roleKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import { Reach } from '../bookkeeping/reach.js';
+import type { FinalRecord } from '../bookkeeping/records.js';
 import { View } from '../bookkeeping/view.js';
 import { HttpCloudApi, type CloudApi } from '../protocol/cloud-api.js';
-import { decodePeer, encodePeer, type Ask, type PeerMessage } from '../protocol/peer-messages.js';
+import {
+  decodePeer,
+  encodePeer,
+  type Ask,
+  type CancelledJob,
+  type PeerMessage,
+} from '../protocol/peer-messages.js';
 import type { Settings } from '../protocol/settings.js';
 import { HttpStateApi, type StateApi } from '../protocol/state-api.js';
 import type { WorkerReport } from '../protocol/terms.js';
@@ -59,6 +66,7 @@
 import { Part } from './part.js';
 import { LEADER, Roles, graceMs, partRole } from './roles.js';
 import { hash, partOf, type Member } from './rendezvous.js';
+import { Tenure } from './tenure.js';
 
 /** The outside as the node needs it; tests give stand-ins. */
 export interface Outside {
@@ -153,7 +161,7 @@
       this.committer,
       clock,
       log,
-      (jobs) => this.tellOf(jobs),
+      (jobs, cancelled) => this.tellOf(jobs, cancelled),
       spacing(CHECK_SHARE),
     );
     const leading = (): number => (this.leader ? LOOP_MS : LOOP_IDLE_MS);
@@ -371,13 +379,13 @@
       this.fleet = null;
     } else if (!this.leader || this.leaderTerm !== lead.term) {
       this.leaderTerm = lead.term;
-      const common = {
-        term: lead.term,
-        roleKey: roleKey(LEADER),
-        roleMark: lead.mark,
-        txnOps: settings.txnOps,
-        alive: () => this.roles.owned(LEADER)?.term === lead.term,
-      };
+      const tenure = new Tenure(
+        roleKey(LEADER),
+        this.view,
+        this.committer,
+        () => this.roles.owned(LEADER)?.term === lead.term,
+      );
+      const common = { term: lead.term, tenure, txnOps: settings.txnOps };
       this.leader = new Leader(
         {
           ...common,
@@ -386,7 +394,6 @@
           members: this.members,
         },
         this.view,
-        this.committer,
         outside.clock,
         log,
       );
@@ -402,7 +409,6 @@
           maxMachines: settings.fleet.maxMachines,
         },
         this.view,
-        this.committer,
         outside.cloud,
         outside.clock,
         log,
@@ -509,19 +515,25 @@
   // --- Peers ---------------------------------------------------------------------------------
 
   /** Tells the owner of a role that there is something new for it to read. */
-  private tellOwner(role: string): void {
+  private tellOwner(role: string, cancelled?: CancelledJob): void {
     const owner = this.roles.ownerOf(role);
     if (owner === null || owner === this.settings.node) return;
-    const { node } = this.settings;
-    this.outside.tellPeer(owner, { kind: 'poke', node, revision: this.view.newest });
+    const poke: PeerMessage = {
+      kind: 'poke',
+      node: this.settings.node,
+      revision: this.view.newest,
+    };
+    this.outside.tellPeer(owner, cancelled ? { ...poke, cancelled } : poke);
   }
 
   /** Jobs were accepted or cancelled here: their leader and the parts that hold them must know. */
-  private tellOf(jobs: string[]): void {
+  private tellOf(jobs: string[], over?: { tasks: number }): void {
     const parts = new Set<string>();
     for (const job of jobs) for (const chunk of this.view.chunksOf(job)) parts.add(chunk.part);
-    this.tellOwner(LEADER);
-    for (const part of parts) this.tellOwner(partRole(part));
+    const [job = ''] = jobs;
+    const cancelled = over && { job, tasks: over.tasks };
+    this.tellOwner(LEADER, cancelled);
+    for (const part of parts) this.tellOwner(partRole(part), cancelled);
   }
 
   private async answerRelay(
@@ -540,6 +552,16 @@
   heard(message: PeerMessage, answer: (message: PeerMessage) => void): void {
     switch (message.kind) {
       case 'poke':
+        // What a peer has confirmed stays so: an owner that the state service refuses can stop its
+        // tasks by this word, long before its grace and their leases are over.
+        if (message.cancelled) {
+          const { job, tasks } = message.cancelled;
+          const value: FinalRecord = { state: 'cancelled', tasks };
+          this.view.applyOwn([
+            { key: finalKey(job), value, mark: message.revision },
+            { key: jobKey(job), value: undefined, mark: message.revision },
+          ]);
+        }
         this.view.hurry(message.revision);
         return;
       case 'relay':
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -24,6 +24,7 @@
   JOBS,
   STATUSES,
   armKey,
+  jobKey,
   machineKey,
   statusKey,
 } from '../bookkeeping/keys.js';
@@ -145,6 +146,8 @@
         this.noteEnd(chunk);
         known = true;
       }
+      // A round that waits for the state service must not hold up what ends tasks.
+      if (known && this.busy) this.sendDirect();
       return known;
     }
     const before = this.tasks.chunks.get(key);
@@ -361,8 +364,11 @@
       this.stirred.delete(name);
       // The answer to the report that proves that it hears us carries all that is missing.
       if (!machine?.proven || machine.address === '') continue;
-      if (this.machines.health(machine) === 'silent') continue;
-      const commands = this.commandsFor(machine, false);
+      let commands = this.commandsFor(machine, false);
+      // A silent one may still hear calls: what must end there is told to it, nothing else.
+      if (this.machines.health(machine) === 'silent') {
+        commands = commands.filter((command) => command.op === 'stop');
+      }
       if (commands.length > 0) void this.sendTo(machine, commands);
     }
   }
@@ -555,6 +561,7 @@
       const changes: Change[] = [];
       const written: Written[] = [];
       const machines = new Set<string>();
+      const jobs = new Set<string>();
       let bytes = 0;
       // Urgent work shares no transaction with other work, which may have to wait for its turn.
       const urgent = left[0] !== undefined && this.urgent(left[0]);
@@ -571,12 +578,14 @@
         // in one would be refused, again and again.
         const fresh = this.over(chunk) ? new Set<string>() : this.tasks.fresh(chunk);
         const all = new Set([...machines, ...fresh]);
-        const room = this.options.txnOps * (GUARDS_PER_OP - 1) - 1;
+        const room = this.options.txnOps * (GUARDS_PER_OP - 2) - 1;
         if (all.size > room && changes.length > 0) break;
         const some = new Set([...fresh].slice(0, room));
         const record = this.over(chunk) ? null : this.tasks.write(chunk, some);
         for (const machine of some) machines.add(machine);
         guards.push({ key: chunk.key, mark: this.view.markOf(chunk.key) });
+        // Nor is a job placed that was called off a moment ago, which this node has not heard yet.
+        if (some.size > 0) jobs.add(chunk.job);
         changes.push(record ? { key: chunk.key, value: record } : { key: chunk.key, remove: true });
         written.push({ chunk, record });
         if (some.size === fresh.size) this.tasks.clean(chunk);
@@ -585,6 +594,8 @@
         const key = machineKey(machine);
         guards.push({ key, mark: this.view.markOf(key) });
       }
+      for (const job of jobs)
+        guards.push({ key: jobKey(job), mark: this.view.markOf(jobKey(job)) });
       const purpose = urgent ? 'urgent' : 'part';
       const result = await this.committer.commit(purpose, guards, changes, this.options.alive);
       if (!this.options.alive()) return;
--- a/src/coordination/roles.ts
+++ b/src/coordination/roles.ts
@@ -6,6 +6,7 @@
   LEASE_MARGIN_MS,
   MEMBER_RENEW_MS,
   MEMBER_TTL_MS,
+  MOVED_LONG_MS,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
 import type { Gate } from '../bookkeeping/gate.js';
@@ -40,21 +41,23 @@
   return timing.leaseS * 1000 * (1 + CLOCK_DRIFT) + LEASE_MARGIN_MS;
 }
 
-/** The steady time from which no machine that never spoke to a part's new owner has tasks left. */
+/**
+ * The steady time from which no machine that never spoke to a part's new owner has tasks left.
+ * `seenAt`: when this process first saw that the role is its own. What the claim itself says of the
+ * time is no proof, since a claim may be carried out long after it was made, in an outage or late.
+ */
 export function fenceAt(
   record: RoleRecord,
-  self: { startedAt: number },
-  now: number,
+  self: { startedAt: number; seenAt: number },
   wall: number,
   timing: Timing,
 ): number {
   // The process before this one ended before this one began, so its answers did too.
   const afterSelf = self.startedAt + leaseMs(timing);
-  if (record.movedAt === 0) return afterSelf;
-  // Another node may have answered for a full grace after it lost the role.
-  const sinceMove = wall - record.movedAt;
-  const left = graceMs(timing) + leaseMs(timing) + 2 * timing.skewMs - sinceMove;
-  return Math.max(afterSelf, now + left);
+  if (record.movedAt === 0 || wall - record.movedAt > MOVED_LONG_MS) return afterSelf;
+  // Another node answered at the latest a full grace after its last watch that did not show the
+  // claim, which was sent before the claim was carried out, which was before we saw it.
+  return Math.max(afterSelf, self.seenAt + graceMs(timing) + leaseMs(timing));
 }
 
 export interface Owned {
@@ -71,6 +74,8 @@
 export class Roles {
   private lease: number | null = null;
   private readonly freeSince = new Map<string, number>();
+  /** Our roles: term, the revision at which we got it, and when we first saw that. */
+  private readonly claims = new Map<string, { term: number; mark: number; seenAt: number }>();
   private busy = false;
   private renewedAt = -Infinity;
   readonly startedAt: number;
@@ -116,8 +121,16 @@
   owned(role: string): Owned | null {
     const held = this.view.get<RoleRecord>(roleKey(role));
     if (!held || held.value.owner !== this.self.node) return null;
-    if (held.value.incarnation !== this.incarnation || this.view.revision < held.mark) return null;
-    return { role, term: held.value.term, mark: held.mark, record: held.value };
+    if (held.value.incarnation !== this.incarnation) return null;
+    const { term } = held.value;
+    let claim = this.claims.get(role);
+    // Its key may be written anew within the term: what counts is when we got it.
+    if (claim?.term !== term) {
+      claim = { term, mark: held.mark, seenAt: this.clock.now() };
+      this.claims.set(role, claim);
+    }
+    if (this.view.revision < claim.mark) return null;
+    return { role, term, mark: held.mark, record: held.value };
   }
 
   /** Whether the view is recent enough to act on a role before the outside. */
@@ -126,7 +139,9 @@
   }
 
   fence(owned: Owned): number {
-    return fenceAt(owned.record, this, this.clock.now(), this.clock.wall(), this.timing);
+    const { startedAt } = this;
+    const seenAt = this.claims.get(owned.role)?.seenAt ?? this.clock.now();
+    return fenceAt(owned.record, { startedAt, seenAt }, this.clock.wall(), this.timing);
   }
 
   /** One round: keep the lease, then take what should be ours. */
--- /dev/null
+++ b/src/coordination/tenure.ts
@@ -0,0 +1,63 @@
+import type { CommitResult, Committer } from '../bookkeeping/committer.js';
+import type { Purpose } from '../bookkeeping/gate.js';
+import type { RoleRecord } from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import type { Change, Guard } from '../protocol/state-api.js';
+
+/**
+ * A role in our hands: every write in it guards its key. Writing that key anew, with nothing changed
+ * but its revision, makes all of our earlier transactions powerless that were not carried out yet.
+ */
+export class Tenure {
+  constructor(
+    private readonly key: string,
+    private readonly view: View,
+    private readonly committer: Committer,
+    /** Still ours, as far as the view knows. */
+    readonly alive: () => boolean,
+  ) {}
+
+  private guard(): Guard {
+    return { key: this.key, mark: this.view.markOf(this.key) };
+  }
+
+  /**
+   * Commits in the role. `once`: what it creates may be used up and removed soon, so that a copy of
+   * it without an answer could create it a second time. Such a copy is made powerless first.
+   */
+  async commit(
+    purpose: Purpose,
+    guards: Guard[],
+    changes: Change[],
+    once = false,
+  ): Promise<CommitResult> {
+    for (;;) {
+      if (!this.alive()) return { kind: 'givenUp', unsure: false };
+      const result = await this.committer.commit(
+        purpose,
+        [this.guard(), ...guards],
+        changes,
+        this.alive,
+        once ? () => this.renew() : undefined,
+      );
+      // Not carried out, and the role is still ours: its key was only written anew meanwhile.
+      const again =
+        result.kind === 'settled' ||
+        (result.kind === 'conflict' && result.failed.length === 1 && result.failed[0] === this.key);
+      if (!again || !this.alive()) return result;
+    }
+  }
+
+  /** Writes the role's key anew; false: the role is lost. */
+  private async renew(): Promise<boolean> {
+    const before = this.view.get<RoleRecord>(this.key);
+    if (!before || !this.alive()) return false;
+    await this.committer.commit(
+      'role',
+      [this.guard()],
+      [{ key: this.key, value: before.value }],
+      this.alive,
+    );
+    return this.alive() && this.view.markOf(this.key) > before.mark;
+  }
+}
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -7,11 +7,17 @@
  * rests on it that the state service would not allow.
  */
 export type PeerMessage =
-  | { kind: 'poke'; node: string; revision: number }
+  /** There is something new; `cancelled`: a job that was called off by this revision. */
+  | { kind: 'poke'; node: string; revision: number; cancelled?: CancelledJob }
   /** A worker's or user's request that the sender can't serve itself. */
   | { kind: 'relay'; id: number; ask: Ask; about: string; text: string }
   | { kind: 'relayed'; id: number; status: number; body: string };
 
+export interface CancelledJob {
+  job: string;
+  tasks: number;
+}
+
 /** What a relayed request asks; `about` is the job's id where there is one. */
 export const ASKS = ['report', 'submit', 'poll', 'cancel'] as const;
 export type Ask = (typeof ASKS)[number];
@@ -28,6 +34,10 @@
       writer.uint32((POKE << 3) | 2).fork();
       writer.uint32((1 << 3) | 2).string(message.node);
       writer.uint32((2 << 3) | 0).uint64(message.revision);
+      if (message.cancelled) {
+        writer.uint32((3 << 3) | 2).string(message.cancelled.job);
+        writer.uint32((4 << 3) | 0).uint32(message.cancelled.tasks);
+      }
       break;
     case 'relay':
       writer.uint32((RELAY << 3) | 2).fork();
@@ -71,8 +81,12 @@
   const text = (field: number): string => String(fields[field] ?? '');
   const integer = (field: number): number => Number(fields[field] ?? 0);
   switch (kind) {
-    case POKE:
-      return { kind: 'poke', node: text(1), revision: integer(2) };
+    case POKE: {
+      const poke = { kind: 'poke' as const, node: text(1), revision: integer(2) };
+      return fields[3] === undefined
+        ? poke
+        : { ...poke, cancelled: { job: text(3), tasks: integer(4) } };
+    }
     case RELAY: {
       const ask = ASKS[integer(2)];
       if (!ask) return null;
--- a/src/protocol/user-codec.ts
+++ b/src/protocol/user-codec.ts
@@ -9,6 +9,7 @@
 const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
 const label = v.pipe(v.string(), v.minLength(1), v.maxLength(100));
 
+/** Only what may be null may be left out: a job that lacks a field is malformed. */
 const submission = v.object({
   ref: v.pipe(v.string(), v.regex(ID, 'must look like j-000412')),
   lane: label,
@@ -17,18 +18,18 @@
   rank: v.picklist(['production', 'urgent', 'normal', 'best_effort']),
   larvae: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TASKS)),
   cores: positive,
-  gpus: v.nullish(amount, 0),
+  gpus: amount,
   memGb: amount,
   cocoon: label,
   imageGb: amount,
   breeds: v.nullish(v.pipe(v.array(label), v.maxLength(1000)), null),
   grove: v.nullish(label, null),
-  samePlace: v.nullish(v.boolean(), false),
-  apart: v.nullish(v.boolean(), false),
-  windfall: v.nullish(v.boolean(), false),
-  guessS: v.nullish(amount, 0),
-  moltS: v.nullish(amount, 0),
-  spinS: v.nullish(amount, 0),
+  samePlace: v.boolean(),
+  apart: v.boolean(),
+  windfall: v.boolean(),
+  guessS: amount,
+  moltS: amount,
+  spinS: amount,
   duskS: v.nullish(amount, null),
 });
 
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -340,6 +340,8 @@
       apart: whole.spread,
       windfall: whole.spot,
       guessS: whole.runS,
+      moltS: 0,
+      spinS: 0,
       duskS: whole.deadlineS,
     };
     const node = this.nodes.get(at)?.node;
