Gangs: reserved as a whole by parts, started together, stopped and given back together

The leader hands a gang out under one attempt number, to one part that has the room, else to several; parts commit placements first and start once all of the gang is reserved. When a task ends otherwise than done all of them end, and the gang gets a new attempt. Room is kept for a gang that waits, for a time.

--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -30,6 +30,8 @@
   memoryGb: number;
   /** The zone its tasks run in; the leader settled it. */
   zone: string;
+  /** Of a gang: the attempt under which all of its tasks start, in every part that has some. */
+  attempt?: number;
 }
 
 export type MachineState = 'rented' | 'drain' | 'gone';
@@ -81,6 +83,8 @@
   gpus: number;
   memoryGb: number;
   zone: string;
+  /** Of a gang: the attempt of all its tasks. */
+  attempt: number | null;
 }
 
 export function summarize(
@@ -104,5 +108,6 @@
     gpus: record.gpus,
     memoryGb: record.memoryGb,
     zone: record.zone,
+    attempt: record.attempt ?? null,
   };
 }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -183,6 +183,22 @@
 export const ATTEMPT_PARTS = 64;
 export const ATTEMPT_STEP = 2 ** 20;
 
+// --- Gangs -----------------------------------------------------------------------------------
+
+/** ms; first and longest pause before a gang that came back is handed out again: the pause doubles.
+ * Its first retry follows as soon as its old attempt is proven ended. */
+export const GANG_RETRY_MS = 250;
+export const GANG_RETRY_MOST_MS = 20_000;
+/** ms; a gang waits so long before room is kept for it: most find theirs at once. */
+export const GANG_KEEP_FROM_MS = 2_000;
+/** ms; room is kept so long, two boots, and then for as long not. */
+export const GANG_KEEP_FOR_MS = 60_000;
+/** ms; a part keeps room for a gang that does not fit yet for so long before it gives it back: what
+ * runs there ends within the run time of a short task or two. */
+export const GANG_HOLD_MS = 20_000;
+/** ms; placed and waiting for the other parts of its gang so long, a part gives its share back. */
+export const GANG_RESERVE_MS = 12_000;
+
 // --- Placement -------------------------------------------------------------------------------
 
 /** Task classes the bandit tells apart; the rest share one. The design's starting value. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -30,8 +30,8 @@
 import { Backoff } from '../transport/backoff.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
+import { howMany, mayUse, type Picture, type Slotted, type Unmet } from './rooms.js';
 import type { Tenure } from './tenure.js';
-import { howMany, mayUse, type Picture, type Slotted, type Unmet } from './leader.js';
 
 export interface FleetOptions {
   term: number;
@@ -431,7 +431,7 @@
     let work = 0;
     for (const one of picture.machines) work += one.lowCpus * RUNNING_LEFT_S;
     for (const { spec, count } of picture.unmet) {
-      if (spec.kind === 'array') work += count * spec.cpus * Math.max(1, spec.estimateS);
+      if (spec.kind !== 'service') work += count * spec.cpus * Math.max(1, spec.estimateS);
     }
     return work / (this.quickestBootS() * LATE_BOOTS) + picture.comingCpus * COMING_SHARE;
   }
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -56,12 +56,12 @@
 ): string | 'unknown' | null {
   const team = teams.find((one) => one.name === spec.team);
   if (!team) return `crew: no team ${spec.team}`;
-  const times = spec.kind === 'service' ? spec.tasks : 1;
+  const times = spec.kind === 'array' ? 1 : spec.tasks;
   if (spec.cpus * times > team.cpusMax || spec.gpus * times > team.gpusMax) {
     return 'cores: more than the team may use';
   }
   if (types === null) return 'unknown';
-  const fit = types.some(
+  const fitting = types.filter(
     (type) =>
       (spec.types === null || spec.types.includes(type.name)) &&
       (spec.zone === null || type.zones.includes(spec.zone)) &&
@@ -69,7 +69,13 @@
       type.gpus >= spec.gpus &&
       type.memoryGb >= spec.memoryGb,
   );
-  return fit ? null : 'larvae: a task fits no allowed machine type';
+  if (fitting.length === 0) return 'larvae: a task fits no allowed machine type';
+  // At most half of a gang may be in one zone, and all of it runs at the same time.
+  if (spec.kind === 'gang' && spec.spread && spec.tasks > 1) {
+    const zones = new Set(spec.zone === null ? fitting.flatMap((type) => type.zones) : [spec.zone]);
+    if (spec.oneZone || zones.size < 2) return 'apart: all tasks at once would be in one zone';
+  }
+  return null;
 }
 
 const later = (status: number, error: string): HttpReply => ({
--- /dev/null
+++ b/src/coordination/gang-share.ts
@@ -0,0 +1,100 @@
+import { GANG_HOLD_MS, GANG_RESERVE_MS, RELEASE_MS } from '../constants.js';
+import type { Log } from '../bookkeeping/log.js';
+import type { View } from '../bookkeeping/view.js';
+import { rankOf, type JobSpec } from '../protocol/terms.js';
+import type { Clock } from '../transport/clock.js';
+import { URGENT } from './ledger.js';
+import type { Chunk, Tasks } from './tasks.js';
+
+/**
+ * A part's shares of gangs. A share's placements are reserved when they are committed; they start
+ * once every task of the gang is reserved, here and in other parts, all under one attempt. When one
+ * of its tasks ends otherwise than done, all end, and the whole share goes back to the leader, which
+ * hands the gang out anew under a new attempt when nothing of the old one is left anywhere.
+ */
+export class GangShares {
+  constructor(
+    private readonly tasks: Tasks,
+    private readonly view: View,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {}
+
+  private spec(chunk: Chunk): JobSpec | null {
+    return this.view.job(chunk.job)?.spec ?? null;
+  }
+
+  /** Whether tasks of this chunk may start now. */
+  mayStart(chunk: Chunk): boolean {
+    if (chunk.record.attempt === undefined) return true;
+    return !chunk.broken && this.whole(chunk);
+  }
+
+  /** Whether all tasks of the gang have their machines, by what the state service holds. */
+  private whole(chunk: Chunk): boolean {
+    let placed = 0;
+    for (const share of this.view.chunksOf(chunk.job)) {
+      if (share.attempt !== chunk.record.attempt) return false;
+      placed += share.liveCount + share.done;
+    }
+    return placed === this.spec(chunk)?.tasks;
+  }
+
+  /**
+   * Ends what is broken, gives back what found no room or whose other shares don't come. Returns the
+   * machines on which tasks must now be stopped: all at once, so that their progress is saved.
+   */
+  tend(): Set<string> {
+    const stopped = new Set<string>();
+    const now = this.clock.now();
+    for (const chunk of this.tasks.gangs) {
+      const spec = this.spec(chunk);
+      if (spec === null) continue;
+      const all = chunk.waiting.size === 0;
+      chunk.placedAt = all ? (chunk.placedAt ?? now) : null;
+      const late = chunk.placedAt !== null && now - chunk.placedAt >= GANG_RESERVE_MS;
+      if (!chunk.broken && late && !this.whole(chunk)) {
+        chunk.broken = true;
+        this.log.info({ job: chunk.job }, 'gang not reserved in time');
+      }
+      if (chunk.broken) this.end(chunk, stopped);
+      else if (chunk.placed === 0) this.release(chunk, spec, now);
+    }
+    return stopped;
+  }
+
+  private end(chunk: Chunk, stopped: Set<string>): void {
+    for (const slot of [...chunk.slots.values()]) {
+      if (slot.state !== 'live' || slot.halting) continue;
+      // What was never committed was never sent either.
+      if (this.tasks.committed(chunk, slot)) {
+        slot.halting = true;
+        stopped.add(slot.machine);
+      } else this.tasks.requeue(chunk, slot);
+    }
+    if (chunk.placed > 0) return;
+    this.log.info({ job: chunk.job, attempt: chunk.record.attempt }, 'gang goes back');
+    this.giveBack(chunk);
+  }
+
+  private release(chunk: Chunk, spec: JobSpec, now: number): void {
+    const patience = rankOf(spec.priority) >= URGENT ? RELEASE_MS : GANG_HOLD_MS;
+    const [first] = chunk.waiting;
+    if (first && now - first.pendingSince >= patience) this.giveBack(chunk);
+  }
+
+  private giveBack(chunk: Chunk): void {
+    for (const slot of [...chunk.waiting]) this.tasks.giveBack(chunk, slot);
+  }
+
+  /** Machines of a gang of which another part has written something. */
+  machinesOf(job: string): Set<string> {
+    const machines = new Set<string>();
+    for (const chunk of this.tasks.of(job)) {
+      if (chunk.record.attempt === undefined) continue;
+      for (const slot of chunk.slots.values())
+        if (slot.state === 'live') machines.add(slot.machine);
+    }
+    return machines;
+  }
+}
--- /dev/null
+++ b/src/coordination/gangs.ts
@@ -0,0 +1,144 @@
+import {
+  ATTEMPT_PARTS,
+  ATTEMPT_STEP,
+  GANG_KEEP_FOR_MS,
+  GANG_KEEP_FROM_MS,
+  GANG_RETRY_MS,
+  GANG_RETRY_MOST_MS,
+} from '../constants.js';
+import type { JobSpec } from '../protocol/terms.js';
+import { placeOf } from './ledger.js';
+import { howMany, mayUse, type Slotted } from './rooms.js';
+
+/** Tasks of a gang for one part. */
+export interface Share {
+  part: string;
+  zone: string;
+  count: number;
+}
+
+/**
+ * Where a gang goes as a whole. `now`: there is free room for all of it; `soon`: there is once work
+ * that may be stopped, or ends by itself, has left. No shares: there is not; `zone` is then where it
+ * misses the least (null: anywhere), and `missing` how many of its tasks have no room there.
+ */
+export type GangPlan =
+  | { shares: Share[]; when: 'now' | 'soon' }
+  | { shares: null; zone: string | null; missing: number };
+
+interface Place {
+  part: string;
+  zone: string;
+  now: number;
+  soon: number;
+}
+
+/** Fills the places with the most room first, at most so many tasks in each zone. */
+function fill(
+  places: readonly Place[],
+  when: 'now' | 'soon',
+  tasks: number,
+  perZone: number,
+): Share[] | null {
+  const zones = new Map<string, number>();
+  const shares: Share[] = [];
+  let left = tasks;
+  for (const place of [...places].sort((a, b) => b[when] - a[when])) {
+    const inZone = zones.get(place.zone) ?? 0;
+    const count = Math.min(left, place[when], perZone - inZone);
+    if (count <= 0) continue;
+    zones.set(place.zone, inZone + count);
+    shares.push({ part: place.part, zone: place.zone, count });
+    left -= count;
+    if (left === 0) return shares;
+  }
+  return null;
+}
+
+/**
+ * One part that has the room is best: it commits all placements at once. Several parts reserve
+ * theirs, and start when all have. By real fit on each machine, not by totals.
+ */
+export function planGang(spec: JobSpec, machines: readonly Slotted[]): GangPlan {
+  const places = new Map<string, Place>();
+  for (const machine of machines) {
+    if (!mayUse(spec, machine)) continue;
+    const key = placeOf(machine.part, machine.zone);
+    let place = places.get(key);
+    if (!place) {
+      places.set(key, (place = { part: machine.part, zone: machine.zone, now: 0, soon: 0 }));
+    }
+    place.now += howMany(machine, spec);
+    place.soon += howMany({ ...machine, cpus: machine.cpus + machine.lowCpus }, spec);
+  }
+  const all = [...places.values()];
+  const zones = new Map<string, Place[]>();
+  for (const place of all) zones.set(place.zone, [...(zones.get(place.zone) ?? []), place]);
+  const perZone = spec.spread ? Math.ceil(spec.tasks / 2) : Infinity;
+  const groups = spec.oneZone ? [...zones.values()] : [all];
+  const sum = (group: readonly Place[], when: 'now' | 'soon'): number =>
+    group.reduce((total, place) => total + place[when], 0);
+  for (const when of ['now', 'soon'] as const) {
+    if (!spec.spread || spec.tasks === 1) {
+      const best = all.reduce<Place | null>(
+        (found, place) => (found === null || place[when] > found[when] ? place : found),
+        null,
+      );
+      if (best && best[when] >= spec.tasks) {
+        return { shares: [{ part: best.part, zone: best.zone, count: spec.tasks }], when };
+      }
+    }
+    for (const group of [...groups].sort((a, b) => sum(b, when) - sum(a, when))) {
+      const shares = fill(group, when, spec.tasks, perZone);
+      if (shares) return { shares, when };
+    }
+  }
+  if (!spec.oneZone) {
+    return { shares: null, zone: spec.zone, missing: Math.max(1, spec.tasks - sum(all, 'now')) };
+  }
+  const best = [...zones].sort(([, a], [, b]) => sum(b, 'soon') - sum(a, 'soon'))[0];
+  return {
+    shares: null,
+    zone: best?.[0] ?? spec.zone,
+    missing: Math.max(1, spec.tasks - sum(best?.[1] ?? [], 'now')),
+  };
+}
+
+/** What the leader remembers of gangs: their attempts, and how long they wait. */
+export class Gangs {
+  private count = 0;
+  private readonly tries = new Map<string, { count: number; at: number }>();
+  private readonly waits = new Map<string, number>();
+
+  constructor(private readonly term: number) {}
+
+  /** A new attempt for all tasks of a gang: numbers of no part, and never used again. */
+  attempt(job: string, now: number): number {
+    this.tries.set(job, { count: (this.tries.get(job)?.count ?? 0) + 1, at: now });
+    this.waits.delete(job);
+    return (this.term * ATTEMPT_PARTS + ATTEMPT_PARTS - 1) * ATTEMPT_STEP + ++this.count;
+  }
+
+  /** A gang that came back again and again waits longer each time. */
+  mayTry(job: string, now: number): boolean {
+    const { count, at } = this.tries.get(job) ?? { count: 0, at: -Infinity };
+    return now - at >= Math.min(GANG_RETRY_MOST_MS, GANG_RETRY_MS * 2 ** count);
+  }
+
+  /**
+   * Whether room is kept for a gang that waits: after some seconds and for a time, then for as long
+   * not, so that what can't start soon holds up nobody for ever.
+   */
+  keeps(job: string, now: number): boolean {
+    const since = this.waits.get(job) ?? now;
+    this.waits.set(job, since);
+    const waited = now - since - GANG_KEEP_FROM_MS;
+    return waited >= 0 && waited % (2 * GANG_KEEP_FOR_MS) < GANG_KEEP_FOR_MS;
+  }
+
+  forget(open: (job: string) => boolean): void {
+    for (const known of [this.tries, this.waits]) {
+      for (const job of known.keys()) if (!open(job)) known.delete(job);
+    }
+  }
+}
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -24,7 +24,6 @@
   ChunkRecord,
   FinalRecord,
   JobRecord,
-  MachineHealth,
   MachineRecord,
   StatusRecord,
 } from '../bookkeeping/records.js';
@@ -33,44 +32,13 @@
 import { rankOf, type JobSpec, type MachineType } from '../protocol/terms.js';
 import type { Team } from '../protocol/settings.js';
 import type { Clock } from '../transport/clock.js';
-import { Arrivals, Ledger, URGENT, placeOf, type Usage } from './ledger.js';
+import { Gangs, planGang } from './gangs.js';
+import { Arrivals, Ledger, URGENT, endsAt, placeOf, type Usage } from './ledger.js';
 import { inTurn, type Open } from './order.js';
 import { partOf, type Member } from './rendezvous.js';
+import { howMany, mayUse, need, occupy, type Picture, type Slotted, type Unmet } from './rooms.js';
 import type { Tenure } from './tenure.js';
 
-/** A machine as the leader counts it. */
-export interface Slotted {
-  name: string;
-  part: string;
-  type: string;
-  zone: string;
-  spot: boolean;
-  health: MachineHealth | 'booting';
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-  /** Tasks placed on it. */
-  tasks: number;
-  /** CPUs of tasks that rank below `high`: what urgent work could take. */
-  lowCpus: number;
-}
-
-/** Tasks of a job for which no room was found. */
-export interface Unmet {
-  spec: JobSpec;
-  count: number;
-  /** Time of day of its acceptance in ms. */
-  at: number;
-}
-
-export interface Picture {
-  machines: Slotted[];
-  unmet: Unmet[];
-  /** CPUs that lower work takes if it goes on coming as lately, and its last kind of task. */
-  comingCpus: number;
-  coming: JobSpec | null;
-}
-
 /** What waits in a part beyond its free room, and what its machines finish meanwhile. */
 interface Queue {
   part: string;
@@ -89,38 +57,6 @@
   members: readonly Member[];
 }
 
-const need = (spec: { cpus: number; gpus: number; memoryGb: number }, times: number) => ({
-  cpus: spec.cpus * times,
-  gpus: spec.gpus * times,
-  memoryGb: spec.memoryGb * times,
-});
-
-/** How many tasks of a kind fit into a room. */
-export function howMany(
-  room: { cpus: number; gpus: number; memoryGb: number },
-  task: { cpus: number; gpus: number; memoryGb: number },
-): number {
-  const slack = 1e-9;
-  let count = Infinity;
-  if (task.cpus > 0) count = Math.min(count, Math.floor(room.cpus / task.cpus + slack));
-  if (task.gpus > 0) count = Math.min(count, Math.floor(room.gpus / task.gpus + slack));
-  if (task.memoryGb > 0) {
-    count = Math.min(count, Math.floor(room.memoryGb / task.memoryGb + slack));
-  }
-  return Math.max(0, count);
-}
-
-export function mayUse(
-  spec: JobSpec,
-  machine: { type: string; zone: string; spot: boolean },
-): boolean {
-  return (
-    (spec.types === null || spec.types.includes(machine.type)) &&
-    (spec.zone === null || spec.zone === machine.zone) &&
-    (spec.spot || !machine.spot)
-  );
-}
-
 /**
  * The leader: orders the work, hands ranges of tasks to parts by free room, keeps team limits and
  * the zones of jobs, and ends jobs whose tasks are all done.
@@ -137,6 +73,7 @@
   private readonly teams: ReadonlyMap<string, Team>;
   private readonly ledger: Ledger;
   private readonly arrivals: Arrivals;
+  private readonly gangs: Gangs;
   private busy = false;
   /** ms that the last round took, its waiting for the state service aside. */
   costMs = 0;
@@ -151,6 +88,7 @@
     this.teams = new Map(options.teams.map((team) => [team.name, team]));
     this.ledger = new Ledger(view, clock);
     this.arrivals = new Arrivals(view, clock);
+    this.gangs = new Gangs(options.term);
   }
 
   /** A key of the view changed. */
@@ -179,7 +117,7 @@
     for (const id of this.ledger.ripe) {
       const held = this.view.get<JobRecord>(jobKey(id));
       const tasks = held?.value.spec.tasks ?? Infinity;
-      if (held && (this.ledger.jobs.get(id)?.done ?? 0) >= tasks) {
+      if (held && (this.ledger.jobs.get(id)?.done ?? 0) >= endsAt(held.value.spec)) {
         over.push({ id, mark: held.mark, tasks });
       } else this.ledger.ripe.delete(id);
     }
@@ -276,6 +214,10 @@
     const urgentKeys = new Set<string>();
     for (const job of open) {
       if (job.unassigned === 0) continue;
+      if (job.spec.kind === 'gang') {
+        this.assignGang(job, used, byPart, { changes, urgentKeys, unmet, limited }, startedAt);
+        continue;
+      }
       const team = this.teams.get(job.spec.team);
       const use = used.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
       used.set(job.spec.team, use);
@@ -326,6 +268,7 @@
       }
       if (short > 0) unmet.push({ spec: job.spec, count: short, at: job.at });
     }
+    this.gangs.forget((id) => this.view.job(id) !== null);
     for (const job of this.servedAt.keys()) if (!this.view.job(job)) this.servedAt.delete(job);
     for (const job of this.limited) if (this.view.job(job)) limited.add(job);
     this.limited = limited;
@@ -371,7 +314,7 @@
     const reserves = new Map<string, number>();
     for (const { spec } of this.view.openJobs()) {
       if (rankOf(spec.priority) < URGENT) continue;
-      const cpus = spec.cpus * (spec.kind === 'service' ? spec.tasks : 1) * URGENT_RESERVE;
+      const cpus = spec.cpus * (spec.kind === 'array' ? 1 : spec.tasks) * URGENT_RESERVE;
       reserves.set(spec.team, Math.max(reserves.get(spec.team) ?? 0, cpus));
     }
     return reserves;
@@ -416,7 +359,7 @@
         if (waiting === 0) break;
         if (machine.cpus < spec.cpus || !mayUse(spec, machine)) continue;
         const count = Math.min(waiting, howMany(machine, spec));
-        this.occupy(machine, spec, count);
+        occupy(machine, spec, count);
         waiting -= count;
         if (machine.cpus <= 0) full++;
       }
@@ -428,7 +371,9 @@
       }
       if (waiting === 0) continue;
       if (queue) queue.waitingCpus += waiting * spec.cpus;
-      unmet.push({ spec, count: waiting, at });
+      // A gang's machines must be where the rest of it has its room.
+      const there = chunk.attempt !== null && spec.oneZone ? { ...spec, zone: chunk.zone } : spec;
+      unmet.push({ spec: there, count: waiting, at });
     }
     return inTurn(
       this.view.openJobs(),
@@ -440,14 +385,6 @@
     );
   }
 
-  private occupy(machine: Slotted, spec: JobSpec, count: number): void {
-    const taken = need(spec, count);
-    machine.cpus -= taken.cpus;
-    machine.gpus -= taken.gpus;
-    machine.memoryGb -= taken.memoryGb;
-    machine.tasks += count;
-  }
-
   /**
    * Gives up to `allowed` tasks to parts: as many as they have free room for and, of lower work,
    * what they will soon have room for. `roomless` of those `given` wait there for others to end.
@@ -492,24 +429,7 @@
     let left = allowed;
     const give = (room: { part: string; zone: string }, count: number): void => {
       left -= count;
-      const ids = free.splice(0, count);
-      const perChunk = Math.max(1, Math.floor(this.options.valueBytes / CHUNK_TASK_BYTES));
-      for (let at = 0; at < ids.length; at += perChunk) {
-        const number = this.options.term * 1e6 + ++this.counter;
-        changes.push({
-          key: chunkKey(room.part, job.id, number),
-          value: {
-            ids: writeRanges(ids.slice(at, at + perChunk)),
-            done: '',
-            live: {},
-            team: spec.team,
-            cpus: spec.cpus,
-            gpus: spec.gpus,
-            memoryGb: spec.memoryGb,
-            zone: room.zone,
-          },
-        });
-      }
+      changes.push(...this.chunks(spec, room, free.splice(0, count)));
     };
     const queued: Queue[] = urgent || spec.kind !== 'array' ? [] : this.shortQueues(job, queues);
     const zones = this.zoneRooms(job, allowed, [
@@ -534,6 +454,104 @@
     return { given: allowed - left, roomless: allowed - left - inRoom };
   }
 
+  /** Records that hand these tasks to a part, each small enough for one value. */
+  private chunks(
+    spec: JobSpec,
+    room: { part: string; zone: string },
+    ids: number[],
+    attempt?: number,
+  ): { key: string; value: ChunkRecord }[] {
+    const chunks: { key: string; value: ChunkRecord }[] = [];
+    const perChunk = Math.max(1, Math.floor(this.options.valueBytes / CHUNK_TASK_BYTES));
+    for (let at = 0; at < ids.length; at += perChunk) {
+      const number = this.options.term * 1e6 + ++this.counter;
+      chunks.push({
+        key: chunkKey(room.part, spec.id, number),
+        value: {
+          ids: writeRanges(ids.slice(at, at + perChunk)),
+          done: '',
+          live: {},
+          team: spec.team,
+          cpus: spec.cpus,
+          gpus: spec.gpus,
+          memoryGb: spec.memoryGb,
+          zone: room.zone,
+          ...(attempt === undefined ? {} : { attempt }),
+        },
+      });
+    }
+    return chunks;
+  }
+
+  /**
+   * Hands a gang out as a whole, under one attempt number, or not at all. While it has no room, or
+   * its team's limit has none, what there is of it is kept from the work behind it for a while.
+   */
+  private assignGang(
+    job: Open,
+    used: Map<string, Usage>,
+    machines: Slotted[],
+    round: {
+      changes: { key: string; value: ChunkRecord }[];
+      urgentKeys: Set<string>;
+      unmet: Unmet[];
+      limited: Set<string>;
+    },
+    now: number,
+  ): void {
+    const { spec } = job;
+    // Some of its tasks are still in the hands of a part: they end first.
+    if (job.unassigned < spec.tasks || !this.gangs.mayTry(job.id, now)) return;
+    const keeps = this.gangs.keeps(job.id, now);
+    const team = this.teams.get(spec.team);
+    const use = used.get(spec.team) ?? { cpus: 0, gpus: 0 };
+    used.set(spec.team, use);
+    const whole = need(spec, spec.tasks);
+    const over =
+      use.cpus + whole.cpus > (team?.cpusMax ?? 0) + 1e-9 ||
+      use.gpus + whole.gpus > (team?.gpusMax ?? 0) + 1e-9;
+    if (!over || keeps) {
+      use.cpus += whole.cpus;
+      use.gpus += whole.gpus;
+    }
+    if (over) {
+      if (!this.limited.has(job.id)) {
+        this.log.info({ job: job.id, team: spec.team, use }, 'waits: its team is at its limit');
+      }
+      round.limited.add(job.id);
+      return;
+    }
+    const plan = planGang(spec, machines);
+    if (!plan.shares) {
+      round.unmet.push({ spec: { ...spec, zone: plan.zone }, count: plan.missing, at: job.at });
+      if (keeps && plan.zone !== null) this.fillZone(spec, plan.zone, machines);
+      return;
+    }
+    const attempt = this.gangs.attempt(job.id, now);
+    let first = 0;
+    for (const share of plan.shares) {
+      const ids = Array.from({ length: share.count }, (_, at) => first + at);
+      first += share.count;
+      const chunks = this.chunks(spec, share, ids, attempt);
+      round.changes.push(...chunks);
+      for (const { key } of chunks) round.urgentKeys.add(key);
+      this.fillRoom(spec, share, share.count, machines);
+    }
+    this.log.info({ job: job.id, attempt, shares: plan.shares, when: plan.when }, 'gang assigned');
+  }
+
+  /** Keeps the free room of a zone for a gang that waits for more of it. */
+  private fillZone(spec: JobSpec, zone: string, machines: Slotted[]): void {
+    let left = spec.tasks;
+    for (const machine of machines) {
+      if (left === 0) return;
+      if (machine.zone !== zone || !mayUse(spec, machine)) continue;
+      const count = Math.min(left, howMany(machine, spec));
+      occupy(machine, spec, count);
+      left -= count;
+    }
+  }
+
   /**
    * Tasks of a job that a part should get beyond its room: as many as end there in the next
    * seconds. A job that is overdue does not wait for the queue: the part takes the earliest first.
@@ -570,7 +588,7 @@
         if (machine.tasks > 0 !== busy || machine.cpus < spec.cpus) continue;
         if (!mayUse(spec, machine)) continue;
         const some = Math.min(left, howMany(machine, spec));
-        this.occupy(machine, spec, some);
+        occupy(machine, spec, some);
         left -= some;
       }
     }
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -30,6 +30,12 @@
   live: number;
 }
 
+/** How many tasks of a job must be done for it to be over: of a gang, which ends as a whole, one. */
+export function endsAt(spec: JobSpec): number {
+  if (spec.kind === 'service') return Infinity;
+  return spec.kind === 'gang' ? 1 : spec.tasks;
+}
+
 /** What one chunk counts for, kept so that exactly this can be taken back. */
 interface Entry {
   chunk: ChunkSummary;
@@ -138,17 +144,17 @@
     const chunk = this.view.chunk(key);
     if (!chunk) return;
     const spec: JobSpec | null = this.view.job(chunk.job)?.spec ?? null;
-    const array = spec?.kind === 'array';
+    const ends = spec !== null && spec.kind !== 'service';
     const entry: Entry = {
       chunk,
       low: spec === null || rankOf(spec.priority) < URGENT,
-      ending: array ? (chunk.liveCount * chunk.cpus) / Math.max(1, spec.estimateS) : 0,
+      ending: ends ? (chunk.liveCount * chunk.cpus) / Math.max(1, spec.estimateS) : 0,
     };
     this.entries.set(key, entry);
     this.count(entry, 1);
     if (spec && chunk.waiting > 0) this.waiting.set(key, chunk);
     const done = this.jobs.get(chunk.job)?.done ?? 0;
-    if (array && done >= spec.tasks) this.ripe.add(chunk.job);
+    if (spec && done >= endsAt(spec)) this.ripe.add(chunk.job);
   }
 
   private count({ chunk, low, ending }: Entry, sign: 1 | -1): void {
--- a/src/coordination/order.ts
+++ b/src/coordination/order.ts
@@ -138,6 +138,8 @@
       Number(b.job.overdue) - Number(a.job.overdue) ||
       (a.job.overdue ? a.job.at - b.job.at : 0) ||
       Number(b.job.guaranteed) - Number(a.job.guaranteed) ||
+      // A gang needs its room all at once: behind work that fits anywhere it would never find it.
+      Number(b.job.spec.kind === 'gang') - Number(a.job.spec.kind === 'gang') ||
       a.job.tier - b.job.tier ||
       // Of those that will be late the least work first: that lets most of them end soon.
       (a.job.tier === 1 ? a.left - b.left : 0) ||
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -21,11 +21,13 @@
 import {
   ARMS,
   CATALOG,
+  CHUNKS,
   JOBS,
   STATUSES,
   armKey,
   jobKey,
   machineKey,
+  readChunkKey,
   statusKey,
 } from '../bookkeeping/keys.js';
 import type { Gate } from '../bookkeeping/gate.js';
@@ -44,6 +46,7 @@
 import type { WorkerApi } from '../protocol/worker-api.js';
 import type { Clock } from '../transport/clock.js';
 import type { ArmRecord, Bandit } from './bandit.js';
+import { GangShares } from './gang-share.js';
 import { Machines, fits, take, type Direct, type Machine, type Room } from './machines.js';
 import { Placing } from './placing.js';
 import { Tasks, type Chunk, type Slot } from './tasks.js';
@@ -90,6 +93,7 @@
 export class Part {
   readonly machines: Machines;
   private readonly tasks: Tasks;
+  private readonly gangs: GangShares;
   private bandit: Bandit | null = null;
   private placing: Placing | null = null;
   private readonly failures = new Map<string, { count: number; until: number }>();
@@ -114,6 +118,7 @@
   ) {
     this.machines = new Machines(options, view, clock);
     this.tasks = new Tasks(options.part, view, clock);
+    this.gangs = new GangShares(this.tasks, view, clock, log);
     for (const chunk of this.tasks.chunks.values()) this.noteEnd(chunk);
     this.snapshotAt = clock.now() + options.snapshotMs;
     this.inherit();
@@ -150,6 +155,7 @@
       if (known && this.busy) this.sendDirect();
       return known;
     }
+    if (this.tasks.gangs.size > 0 && this.elsewhere(key)) return true;
     const before = this.tasks.chunks.get(key);
     this.tasks.changed(key);
     const chunk = this.tasks.chunks.get(key);
@@ -158,6 +164,15 @@
     return before !== chunk;
   }
 
+  /** True: another part's share of a gang of ours changed, so that ours may start. */
+  private elsewhere(key: string): boolean {
+    const name = key.startsWith(CHUNKS) ? readChunkKey(key) : null;
+    if (!name || name.part === this.options.part) return false;
+    const machines = this.gangs.machinesOf(name.job);
+    this.stir(machines);
+    return machines.size > 0;
+  }
+
   /** A job that is over: what was never sent goes at once, the rest when reports prove its end. */
   private noteEnd(chunk: Chunk): void {
     if (this.spec(chunk.job) !== null) return;
@@ -228,7 +243,7 @@
         this.stirred.add(machine.name);
         this.wake();
       } else if (one.state !== 'fetching') {
-        found.slot.runningAt ??= now;
+        if (one.state !== 'gathering') found.slot.runningAt ??= now;
         const spec = this.spec(found.chunk.job);
         if (spec) machine.images.add(spec.image);
       }
@@ -341,7 +356,7 @@
     for (const [slot, chunk] of missing) if (slot.startSent) take(room, chunk.record);
     for (const [slot, chunk] of missing) {
       if (!this.tasks.committed(chunk, slot) || slot.halting) continue;
-      if (this.spec(chunk.job) === null) continue;
+      if (this.spec(chunk.job) === null || !this.gangs.mayStart(chunk)) continue;
       if (slot.startSent ? !all : !fits(room, chunk.record)) continue;
       if (!slot.startSent) take(room, chunk.record);
       slot.startSent = true;
@@ -412,6 +427,7 @@
       this.buryDead();
       this.stir(placing.place());
       this.stir(placing.gather());
+      this.stir(this.gangs.tend());
       this.release();
       await this.flush();
       this.sendDirect();
@@ -503,6 +519,7 @@
     const now = this.clock.now();
     for (const chunk of [...this.tasks.waiting]) {
       const spec = this.spec(chunk.job);
+      if (chunk.record.attempt !== undefined) continue;
       if (spec === null || this.pauses(chunk.job)) continue;
       // The leader queues lower work here ahead of the room for it; urgent work must not wait.
       const urgent = rankOf(spec.priority) >= rankOf('high');
@@ -543,6 +560,7 @@
 
   private urgent(chunk: Chunk): boolean {
     const spec = this.spec(chunk.job);
+    if (spec?.kind === 'gang') return true;
     return spec !== null && rankOf(spec.priority) >= rankOf('high');
   }
 
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -12,16 +12,10 @@
 import { rankOf, type JobSpec } from '../protocol/terms.js';
 import type { Clock } from '../transport/clock.js';
 import type { Bandit } from './bandit.js';
-import { fits, take, type Machine, type Machines, type Room } from './machines.js';
+import { GangPlacing, costOf, type Place, type Victim } from './gang-placing.js';
+import { fits, take, type Machine, type Machines } from './machines.js';
 import type { Chunk, Slot, Tasks } from './tasks.js';
 
-/** A machine that may take tasks, the room left on it, and whether it holds none. */
-interface Place {
-  machine: Machine;
-  room: Room;
-  empty: boolean;
-}
-
 export interface PlacingOptions {
   number: number;
   term: number;
@@ -43,6 +37,7 @@
 export class Placing {
   private attempts = 0;
   private gatherAt = 0;
+  private readonly gangs: GangPlacing;
 
   constructor(
     private readonly options: PlacingOptions,
@@ -51,7 +46,9 @@
     private readonly bandit: Bandit,
     private readonly clock: Clock,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.gangs = new GangPlacing(tasks, (place, rank) => this.victims(place, rank), options.job);
+  }
 
   /** Places what waits; returns the machines on which tasks must now be stopped. */
   place(): Set<string> {
@@ -75,7 +72,15 @@
     const lowest = this.lowestRank();
     let short = false;
     for (const { chunk, spec } of waiting) {
-      const open = places.filter(({ machine }) => this.allows(spec, chunk, machine));
+      const open = places.filter(({ machine, kept }) => !kept && this.allows(spec, chunk, machine));
+      if (chunk.record.attempt !== undefined) {
+        if (chunk.broken || chunk.placed > 0) continue;
+        if (!this.placeGang(spec, chunk, open, load, stopped)) {
+          short = true;
+          this.gangs.keep(chunk, open);
+        }
+        continue;
+      }
       for (const slot of [...chunk.waiting]) {
         let target = this.choose(spec, chunk, open, load);
         if (!target && rankOf(spec.priority) > lowest) {
@@ -99,6 +104,44 @@
     return stopped;
   }
 
+  /** All tasks of a gang's share at once, under the attempt that the leader gave it; or none. */
+  private placeGang(
+    spec: JobSpec,
+    chunk: Chunk,
+    open: Place[],
+    load: Map<string, number>,
+    stopped: Set<string>,
+  ): boolean {
+    const name = taskClass(spec);
+    const types = [...new Set(open.map(({ machine }) => machine.type))];
+    const scored = types.map((type) => ({
+      type,
+      score:
+        types.length === 1 ? 0 : this.bandit.score(type, this.bandit.context(name, type, load)),
+    }));
+    scored.sort((a, b) => b.score - a.score);
+    const layout = this.gangs.lay(
+      spec,
+      chunk,
+      open,
+      scored.map(({ type }) => type),
+    );
+    if (!layout) return false;
+    for (const [place, victims] of layout.victims) this.stop(spec, place, victims, stopped);
+    for (const [at, slot] of [...chunk.waiting].entries()) {
+      const place = layout.places[at];
+      if (!place) break;
+      take(place.room, chunk.record);
+      place.empty = false;
+      const { type } = place.machine;
+      load.set(type, (load.get(type) ?? 0) + 1);
+      const context = this.bandit.context(name, type, load);
+      const attempt = chunk.record.attempt ?? this.nextAttempt();
+      this.tasks.place(chunk, slot, place.machine.name, attempt, context);
+    }
+    return true;
+  }
+
   private nextAttempt(): number {
     const { term, number } = this.options;
     return (term * ATTEMPT_PARTS + number) * ATTEMPT_STEP + ++this.attempts;
@@ -112,7 +155,7 @@
       const room = this.machines.capacity(machine.type);
       const placed = this.tasks.on(machine.name);
       for (const [slot, chunk] of placed) if (!slot.halting) take(room, chunk.record);
-      places.push({ machine, room, empty: placed.size === 0 });
+      places.push({ machine, room, empty: placed.size === 0, kept: false });
     }
     return places;
   }
@@ -200,20 +243,12 @@
   /** Room made by stopping work of lower priority; the newest of the lowest goes first. */
   private preempt(spec: JobSpec, chunk: Chunk, open: Place[], stopped: Set<string>): Place | null {
     const rank = rankOf(spec.priority);
-    let best: { place: Place; victims: [Slot, Chunk][] } | null = null;
+    let best: { place: Place; victims: Victim[] } | null = null;
     let bestCost = Infinity;
     for (const place of open) {
-      const lower = [...this.tasks.on(place.machine.name)]
-        .filter(([slot, other]) => {
-          const otherSpec = slot.halting ? null : this.options.job(other.job)?.spec;
-          if (!otherSpec) return false;
-          // The first tasks of a job that waited long are the newest, and would go again and again.
-          if (!this.settled(slot) && this.options.beginner(other.job)) return false;
-          return rankOf(otherSpec.priority) < rank;
-        })
-        .sort(([a], [b]) => (b.runningAt ?? Infinity) - (a.runningAt ?? Infinity));
+      const lower = this.victims(place, rank);
       const room = { ...place.room };
-      const victims: [Slot, Chunk][] = [];
+      const victims: Victim[] = [];
       for (const [slot, other] of lower) {
         if (fits(room, chunk.record)) break;
         take(room, other.record, -1);
@@ -221,26 +256,52 @@
       }
       if (!fits(room, chunk.record)) continue;
       // The fetch of an image can take as long as an urgent start may; stopped tasks only lose work.
-      const cost = victims.length + (place.machine.images.has(spec.image) ? 0 : IMAGE_VICTIMS);
+      const cost =
+        victims.reduce((sum, victim) => sum + costOf(victim), 0) +
+        (place.machine.images.has(spec.image) ? 0 : IMAGE_VICTIMS);
       if (cost >= bestCost) continue;
       best = { place, victims };
       bestCost = cost;
       if (cost <= 1) break;
     }
     if (best === null) return null;
-    const { place, victims } = best;
+    this.stop(spec, best.place, best.victims, stopped);
+    return best.place;
+  }
+
+  /** Tasks on a place that a job of this rank may stop, the first to go first. */
+  private victims(place: Place, rank: number): Victim[] {
+    return [...this.tasks.on(place.machine.name)]
+      .filter(([slot, other]) => {
+        const spec = slot.halting ? null : this.options.job(other.job)?.spec;
+        if (!spec) return false;
+        // A gang is stopped as a whole or not at all, so only where all of it is in our hands.
+        if (spec.kind === 'gang' && other.slots.size < spec.tasks) return false;
+        // The first tasks of a job that waited long are the newest, and would go again and again.
+        if (!this.settled(slot) && this.options.beginner(other.job)) return false;
+        return rankOf(spec.priority) < rank;
+      })
+      .sort(
+        (a, b) =>
+          costOf(a) - costOf(b) || (b[0].runningAt ?? Infinity) - (a[0].runningAt ?? Infinity),
+      );
+  }
+
+  private stop(spec: JobSpec, place: Place, victims: Victim[], stopped: Set<string>): void {
     for (const [slot, other] of victims) {
       take(place.room, other.record, -1);
+      // All of a gang is stopped together: see `GangShares.tend`, in the same round.
+      if (other.record.attempt !== undefined) other.broken = true;
       // What was never committed was never sent either.
-      if (this.tasks.committed(other, slot)) slot.halting = true;
-      else this.tasks.requeue(other, slot);
+      if (!this.tasks.committed(other, slot)) this.tasks.requeue(other, slot);
+      else if (other.record.attempt === undefined) slot.halting = true;
     }
+    if (victims.length === 0) return;
     stopped.add(place.machine.name);
     this.log.info(
       { job: spec.id, machine: place.machine.name, victims: victims.length },
       'stopping lower work to make room',
     );
-    return place;
   }
 
   /** Whether a task ran long enough for its start to have been worth it. */
--- /dev/null
+++ b/src/coordination/rooms.ts
@@ -0,0 +1,80 @@
+import type { MachineHealth } from '../bookkeeping/records.js';
+import type { JobSpec } from '../protocol/terms.js';
+
+/** What a task takes, or a machine has left. */
+export interface Amounts {
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
+
+/** A machine as the leader counts it. */
+export interface Slotted {
+  name: string;
+  part: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  health: MachineHealth | 'booting';
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  /** Tasks placed on it. */
+  tasks: number;
+  /** CPUs of tasks that rank below `high`: what urgent work could take. */
+  lowCpus: number;
+}
+
+/** Tasks of a job for which no room was found. */
+export interface Unmet {
+  spec: JobSpec;
+  count: number;
+  /** Time of day of its acceptance in ms. */
+  at: number;
+}
+
+export interface Picture {
+  machines: Slotted[];
+  unmet: Unmet[];
+  /** CPUs that lower work takes if it goes on coming as lately, and its last kind of task. */
+  comingCpus: number;
+  coming: JobSpec | null;
+}
+
+export const need = (spec: Amounts, times: number): Amounts => ({
+  cpus: spec.cpus * times,
+  gpus: spec.gpus * times,
+  memoryGb: spec.memoryGb * times,
+});
+
+/** How many tasks of a kind fit into a room. */
+export function howMany(room: Amounts, task: Amounts): number {
+  const slack = 1e-9;
+  let count = Infinity;
+  if (task.cpus > 0) count = Math.min(count, Math.floor(room.cpus / task.cpus + slack));
+  if (task.gpus > 0) count = Math.min(count, Math.floor(room.gpus / task.gpus + slack));
+  if (task.memoryGb > 0) {
+    count = Math.min(count, Math.floor(room.memoryGb / task.memoryGb + slack));
+  }
+  return Math.max(0, count);
+}
+
+export function mayUse(
+  spec: JobSpec,
+  machine: { type: string; zone: string; spot: boolean },
+): boolean {
+  return (
+    (spec.types === null || spec.types.includes(machine.type)) &&
+    (spec.zone === null || spec.zone === machine.zone) &&
+    (spec.spot || !machine.spot)
+  );
+}
+
+/** Takes the room of so many tasks of a job from a machine. */
+export function occupy(machine: Slotted, spec: JobSpec, count: number): void {
+  const taken = need(spec, count);
+  machine.cpus -= taken.cpus;
+  machine.gpus -= taken.gpus;
+  machine.memoryGb -= taken.memoryGb;
+  machine.tasks += count;
+}
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -31,6 +31,10 @@
   /** Its slots that wait for a place, in the order of their numbers. */
   waiting: Set<Slot>;
   placed: number;
+  /** Of a gang: its attempt failed, so that all of it ends and goes back to the leader. */
+  broken: boolean;
+  /** Of a gang: steady time since which all of its tasks here are placed; null: they are not. */
+  placedAt: number | null;
   /** As last committed. */
   stored: ChunkRecord;
   /** Steady time of the oldest change that is not committed; null: none. */
@@ -47,6 +51,8 @@
   readonly waiting = new Set<Chunk>();
   /** Chunks that are not as the state service holds them. */
   readonly dirty = new Set<Chunk>();
+  /** Chunks of gangs. */
+  readonly gangs = new Set<Chunk>();
   private readonly byJob = new Map<string, Set<Chunk>>();
   private readonly byMachine = new Map<string, Map<Slot, Chunk>>();
 
@@ -79,9 +85,12 @@
       slots: new Map(),
       waiting: new Set(),
       placed: 0,
+      broken: false,
+      placedAt: null,
       dirtySince: null,
     };
     this.chunks.set(key, chunk);
+    if (chunk.record.attempt !== undefined) this.gangs.add(chunk);
     const group = this.byJob.get(chunk.job);
     if (group) group.add(chunk);
     else this.byJob.set(chunk.job, new Set([chunk]));
@@ -110,6 +119,8 @@
       else if (slot.state === 'pending') chunk.waiting.add(slot);
     }
     if (chunk.waiting.size > 0) this.waiting.add(chunk);
+    // Some of a gang's tasks were placed, and some no more: what is left of this attempt is no gang.
+    chunk.broken = chunk.record.attempt !== undefined && chunk.placed > 0 && chunk.waiting.size > 0;
   }
 
   private empty(chunk: Chunk): void {
@@ -137,6 +148,7 @@
   /** Forgets a chunk; true: it was the last of its job. */
   drop(chunk: Chunk): boolean {
     this.empty(chunk);
+    this.gangs.delete(chunk);
     this.chunks.delete(chunk.key);
     const group = this.byJob.get(chunk.job);
     group?.delete(chunk);
@@ -206,6 +218,8 @@
 
   requeue(chunk: Chunk, slot: Slot): void {
     this.leave(chunk, slot);
+    // Its attempt is over for all: a gang's tasks can't be placed one by one.
+    chunk.broken = chunk.record.attempt !== undefined;
     slot.state = 'pending';
     slot.pendingSince = this.clock.now();
     chunk.waiting.add(slot);
--- a/src/protocol/terms.ts
+++ b/src/protocol/terms.ts
@@ -7,7 +7,8 @@
   id: string;
   class: string;
   team: string;
-  kind: 'array' | 'service';
+  /** `gang`: all tasks run together or none does. */
+  kind: 'array' | 'service' | 'gang';
   priority: Priority;
   tasks: number;
   cpus: number;
@@ -46,8 +47,11 @@
   index: number;
 }
 
-export type TaskState = 'fetching' | 'running' | 'saving' | 'exited';
-export type ExitCause = 'done' | 'stopped' | 'error' | 'noRoom' | 'busy' | 'unknown';
+/** `gathering`: waits for the other tasks of its gang. */
+export type TaskState = 'fetching' | 'gathering' | 'running' | 'saving' | 'exited';
+/** `peerLost`: another task of its gang is gone; `timedOut`: its gang was not complete in time. */
+export type ExitCause =
+  'done' | 'stopped' | 'error' | 'noRoom' | 'busy' | 'unknown' | 'peerLost' | 'timedOut';
 
 export interface TaskReport {
   task: TaskRef;
--- a/src/protocol/user-codec.ts
+++ b/src/protocol/user-codec.ts
@@ -14,7 +14,7 @@
   ref: v.pipe(v.string(), v.regex(ID, 'must look like j-000412')),
   lane: label,
   crew: label,
-  shape: v.picklist(['sweep', 'standing']),
+  shape: v.picklist(['sweep', 'standing', 'group']),
   rank: v.picklist(['production', 'urgent', 'normal', 'best_effort']),
   larvae: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_TASKS)),
   cores: positive,
@@ -33,6 +33,11 @@
   duskS: v.nullish(amount, null),
 });
 
+const KINDS: Record<'sweep' | 'standing' | 'group', JobSpec['kind']> = {
+  sweep: 'array',
+  standing: 'service',
+  group: 'gang',
+};
 const RANKS: Record<string, Priority> = {
   production: 'production',
   urgent: 'high',
@@ -84,7 +89,7 @@
       id: o.ref,
       class: o.lane,
       team: o.crew,
-      kind: o.shape === 'sweep' ? 'array' : 'service',
+      kind: KINDS[o.shape],
       priority: RANKS[o.rank] ?? 'normal',
       tasks: o.larvae,
       cpus: o.cores,
--- a/src/protocol/worker-codec.ts
+++ b/src/protocol/worker-codec.ts
@@ -37,7 +37,7 @@
 
 const STATES: Record<string, TaskState> = {
   pulling: 'fetching',
-  gathering: 'fetching',
+  gathering: 'gathering',
   running: 'running',
   saving: 'saving',
   exited: 'exited',
@@ -49,6 +49,8 @@
   full: 'noRoom',
   busy: 'busy',
   unknown: 'unknown',
+  mates_gone: 'peerLost',
+  alone: 'timedOut',
 };
 const OPS: Record<Command['op'], string> = { start: 'launch', stop: 'halt', forget: 'reap' };
 
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -8,7 +8,7 @@
 import { VERSION } from '../src/constants.js';
 import { Bandit } from '../src/coordination/bandit.js';
 import { neverRuns } from '../src/coordination/front.js';
-import { howMany } from '../src/coordination/leader.js';
+import { howMany } from '../src/coordination/rooms.js';
 import { letBeLate } from '../src/coordination/order.js';
 import { partOf } from '../src/coordination/rendezvous.js';
 import { fenceAt, graceMs, leaseMs } from '../src/coordination/roles.js';
@@ -105,7 +105,8 @@
     ['a list', '[]', 'body'],
     ['bad id', { ...good, ref: 'x' }, 'ref'],
     ['no team', { ...good, crew: undefined }, 'crew'],
-    ['unknown shape', { ...good, shape: 'group' }, 'shape'],
+    ['a gang', { ...good, shape: 'group' }, null],
+    ['unknown shape', { ...good, shape: 'bundle' }, 'shape'],
     ['no tasks', { ...good, larvae: 0 }, 'larvae'],
     ['too many tasks', { ...good, larvae: 100_001 }, 'larvae'],
     ['half a task', { ...good, larvae: 1.5 }, 'larvae'],
