--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -1,16 +1,21 @@
-import type { World } from './world.js';
+import { TYPES, type World } from './world.js';
 
-interface Task {
+export interface Task {
   attempt: number;
-  state: 'pulling' | 'running' | 'exited';
+  state: 'pulling' | 'gathering' | 'running' | 'exited';
   cause?: string;
   cpus: number;
+  /** Gang tasks, told to stop with grace: when it has saved its part. It reports `running` till it exits. */
+  savedAt?: number;
+  /** Its progress was saved when it was stopped. */
+  stored?: boolean;
 }
 
 interface WireCommand {
   verb: string;
   larva: string;
   try: number;
+  settleS?: number;
 }
 
 /** A stand-in for a machine's worker: reports, leases, tokens, sessions and commands. */
@@ -64,9 +69,11 @@
     this.tasks.clear();
   }
 
-  /** Tasks that have their image and have not ended. */
+  /** Tasks that have their image and have not ended, those that wait for their gang included. */
   *onMachine(): Generator<[string, Task]> {
-    for (const entry of this.tasks) if (entry[1].state === 'running') yield entry;
+    for (const entry of this.tasks) {
+      if (entry[1].state === 'running' || entry[1].state === 'gathering') yield entry;
+    }
   }
 
   /** A direct call: carried out if token and session match, perhaps late. */
@@ -121,6 +128,7 @@
         try: task.attempt,
         stage: task.state,
         ...(task.cause ? { cause: task.cause } : {}),
+        ...(task.stored ? { stored: true } : {}),
       })),
     });
   }
@@ -189,7 +197,8 @@
     }
     if (command.verb === 'halt') {
       if (known && known.state !== 'exited' && known.attempt === command.try) {
-        this.end(known, 'stopped');
+        if (job?.gang) this.world.gangs.halt(this, command.larva, known, command.settleS ?? 0);
+        else this.end(known, 'stopped');
       }
       return;
     }
@@ -197,12 +206,31 @@
     if (!job) return;
     const task: Task = { attempt: command.try, state: 'pulling', cpus: job.cpus };
     this.tasks.set(command.larva, task);
+    // What fetches or waits for its gang holds its place as well.
+    const held = [...this.tasks.values()].filter((one) => one.state !== 'exited');
+    const room = TYPES.find((type) => type.name === this.machine.type)?.cpus ?? 0;
+    if (held.reduce((sum, one) => sum + one.cpus, 0) > room + 1e-6) {
+      this.end(task, 'full');
+      return;
+    }
     this.world.clock.after(1000, () => {
       if (this.dead || this.tasks.get(command.larva) !== task || task.state !== 'pulling') return;
       if (job.broken) {
         this.end(task, 'error');
         return;
       }
+      if (job.gang) {
+        // The result of what is done is kept.
+        if (this.world.completed.has(command.larva)) {
+          this.end(task, 'done');
+          return;
+        }
+        task.state = 'gathering';
+        this.changed = true;
+        this.world.started(this, command.larva);
+        this.world.gangs.gather(this, command.larva, task);
+        return;
+      }
       task.state = 'running';
       this.changed = true;
       this.world.started(this, command.larva);
@@ -216,7 +244,13 @@
     });
   }
 
-  private end(task: Task, cause: string): void {
+  /** All of a task's gang have their image. */
+  runs(task: Task): void {
+    task.state = 'running';
+    this.changed = true;
+  }
+
+  end(task: Task, cause: string): void {
     task.state = 'exited';
     task.cause = cause;
     this.changed = true;
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -10,6 +10,7 @@
 import { encodeDirect, parseReport } from '../../src/protocol/worker-codec.js';
 import { NoAnswer } from '../../src/transport/http-client.js';
 import { SimClock } from './clock.js';
+import { SimGangs } from './gang.js';
 import { SimState } from './state.js';
 import { SimWorker } from './worker.js';
 
@@ -42,9 +43,16 @@
 export const TEAMS = [
   { name: 'red', cpus: 8, cpusMax: 16, gpus: 0, gpusMax: 0 },
   { name: 'blue', cpus: 8, cpusMax: 12, gpus: 0, gpusMax: 0 },
+  // Wide enough for a gang larger than one transaction; nothing is guaranteed to it.
+  { name: 'wide', cpus: 0, cpusMax: 60, gpus: 0, gpusMax: 0 },
 ];
 
-export function settingsOf(node: string, zone: string, all: [string, string][]): Settings {
+export function settingsOf(
+  node: string,
+  zone: string,
+  all: [string, string][],
+  maxMachines = 8,
+): Settings {
   return {
     node,
     zone,
@@ -70,7 +78,7 @@
     listLagS: 4,
     sockets: 1000,
     placement: { alpha: 2, penalty: 2, snapshotS: 30 },
-    fleet: { idleS: 30, headroomCpus: 0, spot: true, maxMachines: 8 },
+    fleet: { idleS: 30, headroomCpus: 0, spot: true, maxMachines },
   };
 }
 
@@ -86,6 +94,12 @@
   tasks: number;
   runS: number;
   service: boolean;
+  /** All its tasks run together or none does. */
+  gang: boolean;
+  /** Interval of progress after which it saves by itself; 0: it never saves. */
+  checkpointS: number;
+  /** What saving takes when it is stopped. */
+  saveS: number;
   spot: boolean;
   zone: string | null;
   oneZone: boolean;
@@ -107,6 +121,9 @@
   readonly broken: string[] = [];
   readonly completed = new Set<string>();
   readonly starts: { task: string; machine: string; at: number }[] = [];
+  /** When all tasks of a gang ran together. */
+  readonly gangStarts: { job: string; attempt: number; at: number }[] = [];
+  readonly gangs = new SimGangs(this);
   /** Pairs "x>y" that can't reach each other; x and y are node or machine names. */
   readonly cuts = new Set<string>();
   /** What waits for nodes that stand still. */
@@ -128,6 +145,7 @@
       ['n1', 'a'],
       ['n2', 'b'],
     ],
+    private readonly maxMachines = 8,
   ) {
     this.random = xoroshiro128plus(seed);
     for (const [name] of members) this.boot(name);
@@ -209,7 +227,7 @@
       },
     };
     const node = new ControllerNode(
-      settingsOf(name, zone, this.members),
+      settingsOf(name, zone, this.members, this.maxMachines),
       outside,
       silent,
       `${name}-${++this.incarnations}`,
@@ -312,6 +330,9 @@
       tasks: 4,
       runS: 10,
       service: false,
+      gang: false,
+      checkpointS: 0,
+      saveS: 0,
       spot: true,
       zone: null,
       oneZone: false,
@@ -327,7 +348,7 @@
       ref: id,
       lane: 'work',
       crew: whole.team,
-      shape: whole.service ? 'standing' : 'sweep',
+      shape: whole.gang ? 'group' : whole.service ? 'standing' : 'sweep',
       rank: whole.urgent ? 'urgent' : 'normal',
       larvae: whole.tasks,
       cores: whole.cpus,
@@ -335,13 +356,21 @@
       memGb: 1,
       cocoon: 'img-1',
       imageGb: 1,
+      breeds: null,
       grove: whole.zone,
       samePlace: whole.oneZone,
       apart: whole.spread,
       windfall: whole.spot,
       guessS: whole.runS,
+      moltS: whole.checkpointS,
+      spinS: whole.saveS,
       duskS: whole.deadlineS,
     };
+    return this.post(body, at).then((reply) => this.judged(id, reply));
+  }
+
+  /** A submission as it is, also one that nobody should accept. */
+  post(body: unknown, at = 'n0'): Promise<{ status: number; body: unknown }> {
     const node = this.nodes.get(at)?.node;
     if (!node) return Promise.resolve({ status: 0, body: null });
     return new Promise((resolve) => {
@@ -360,13 +389,42 @@
     const node = this.nodes.get(at)?.node;
     return node
       ? new Promise((resolve) => {
-          this.at(at, () => void node.serve('poll', id, null).then((one) => resolve(unwrap(one))));
+          this.at(
+            at,
+            () =>
+              void node
+                .serve('poll', id, null)
+                .then((one) => resolve(this.judged(id, unwrap(one)))),
+          );
         })
       : Promise.resolve({ status: 0, body: null });
   }
 
   // --- The judge -----------------------------------------------------------------------------
 
+  /** A gang may be called done only when all its tasks ran to their end. */
+  private judged(id: string, reply: { status: number; body: unknown }): typeof reply {
+    const job = this.jobs.get(id);
+    const { body } = unwrap(reply);
+    if (job?.gang && (body as { stage?: string } | null)?.stage === 'done') {
+      const done = [...this.completed].filter((task) => task.startsWith(`${id}/`)).length;
+      if (done < job.tasks) this.broken.push(`not_done ${id}: ${done} of ${job.tasks}`);
+    }
+    return reply;
+  }
+
+  /** Called when all tasks of a gang run. */
+  gangStarted(id: string, attempt: number): void {
+    this.gangStarts.push({ job: id, attempt, at: this.clock.now() });
+    for (const worker of this.workers.values()) {
+      for (const [name, task] of worker.onMachine()) {
+        if (name.startsWith(`${id}/`) && task.state === 'running' && task.attempt !== attempt) {
+          this.broken.push(`two_attempts ${name}: ${task.attempt} and ${attempt}`);
+        }
+      }
+    }
+  }
+
   /** Called by a worker when a task gets on its machine. */
   started(worker: SimWorker, task: string): void {
     const [id = ''] = task.split('/');
