Gangs in several parts: a stop is told to the other parts, so that all save together

The row of arrays behind a gang that can't start took for granted that no machine comes in another's place; the fleet returned an idle one and rented in the gang's zone, so that the gang could start. The row now takes that way from it: the cloud takes nothing back and has nothing, and its check is as before.

--- a/src/bookkeeping/records.ts
+++ b/src/bookkeeping/records.ts
@@ -32,6 +32,8 @@
   zone: string;
   /** Of a gang: the attempt under which all of its tasks start, in every part that has some. */
   attempt?: number;
+  /** Of a gang: its attempt ends, so the other parts stop their shares of it as well. */
+  stopping?: true;
 }
 
 export type MachineState = 'rented' | 'drain' | 'gone';
@@ -85,6 +87,7 @@
   zone: string;
   /** Of a gang: the attempt of all its tasks. */
   attempt: number | null;
+  stopping: boolean;
 }
 
 export function summarize(
@@ -109,5 +112,6 @@
     memoryGb: record.memoryGb,
     zone: record.zone,
     attempt: record.attempt ?? null,
+    stopping: record.stopping ?? false,
   };
 }
--- a/src/coordination/gang-placing.ts
+++ b/src/coordination/gang-placing.ts
@@ -14,11 +14,6 @@
 
 export type Victim = [Slot, Chunk];
 
-/** Tasks that are stopped with a victim: of a gang all, wherever they run. */
-export function costOf([, chunk]: Victim): number {
-  return chunk.record.attempt === undefined ? 1 : chunk.slots.size + 1;
-}
-
 /** A gang's way onto machines: on each place so many tasks, once these others have left. */
 interface Layout {
   places: Place[];
@@ -31,6 +26,7 @@
     private readonly tasks: Tasks,
     /** Tasks on a place that a job of this rank may stop, the first to go first. */
     private readonly victims: (place: Place, rank: number) => Victim[],
+    private readonly costOf: (victim: Victim) => number,
     private readonly job: (id: string) => { spec: JobSpec } | null,
   ) {}
 
@@ -93,7 +89,7 @@
         for (const victim of state.lower) {
           if (fits(room, chunk.record)) break;
           take(room, victim[1].record, -1);
-          cost += costOf(victim);
+          cost += this.costOf(victim);
           count++;
         }
         if (!fits(room, chunk.record) || cost >= bestCost) continue;
--- a/src/coordination/gang-share.ts
+++ b/src/coordination/gang-share.ts
@@ -34,7 +34,7 @@
   private whole(chunk: Chunk): boolean {
     let placed = 0;
     for (const share of this.view.chunksOf(chunk.job)) {
-      if (share.attempt !== chunk.record.attempt) return false;
+      if (share.attempt !== chunk.record.attempt || share.stopping) return false;
       placed += share.liveCount + share.done;
     }
     return placed === this.spec(chunk)?.tasks;
@@ -57,6 +57,12 @@
         chunk.broken = true;
         this.log.info({ job: chunk.job }, 'gang not reserved in time');
       }
+      // Another part stops its share: ours must hear of it within the time that peers wait.
+      const alone = chunk.slots.size === spec.tasks;
+      if (!alone && this.view.chunksOf(chunk.job).some((share) => share.stopping)) {
+        chunk.broken = true;
+      }
+      if (chunk.broken && !alone && !chunk.stored.stopping) this.tasks.touch(chunk);
       if (chunk.broken) this.end(chunk, stopped);
       else if (chunk.placed === 0) this.release(chunk, spec, now);
     }
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -547,6 +547,9 @@
     const age = now - (chunk.dirtySince ?? now);
     const supply = this.options.gate.supply;
     if (age >= DONE_GATHER_MS[supply]) return true;
+    // Other parts with tasks of the gang stop theirs when they see this.
+    const shared = chunk.slots.size < (this.spec(chunk.job)?.tasks ?? 0);
+    if (chunk.broken && shared && !chunk.stored.stopping) return true;
     let starts = false;
     let open = chunk.waiting.size > 0;
     for (const slot of chunk.slots.values()) {
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -12,7 +12,7 @@
 import { rankOf, type JobSpec } from '../protocol/terms.js';
 import type { Clock } from '../transport/clock.js';
 import type { Bandit } from './bandit.js';
-import { GangPlacing, costOf, type Place, type Victim } from './gang-placing.js';
+import { GangPlacing, type Place, type Victim } from './gang-placing.js';
 import { fits, take, type Machine, type Machines } from './machines.js';
 import type { Chunk, Slot, Tasks } from './tasks.js';
 
@@ -47,7 +47,12 @@
     private readonly clock: Clock,
     private readonly log: Log,
   ) {
-    this.gangs = new GangPlacing(tasks, (place, rank) => this.victims(place, rank), options.job);
+    this.gangs = new GangPlacing(
+      tasks,
+      (place, rank) => this.victims(place, rank),
+      (victim) => this.costOf(victim),
+      options.job,
+    );
   }
 
   /** Places what waits; returns the machines on which tasks must now be stopped. */
@@ -257,7 +262,7 @@
       if (!fits(room, chunk.record)) continue;
       // The fetch of an image can take as long as an urgent start may; stopped tasks only lose work.
       const cost =
-        victims.reduce((sum, victim) => sum + costOf(victim), 0) +
+        victims.reduce((sum, victim) => sum + this.costOf(victim), 0) +
         (place.machine.images.has(spec.image) ? 0 : IMAGE_VICTIMS);
       if (cost >= bestCost) continue;
       best = { place, victims };
@@ -275,18 +280,23 @@
       .filter(([slot, other]) => {
         const spec = slot.halting ? null : this.options.job(other.job)?.spec;
         if (!spec) return false;
-        // A gang is stopped as a whole or not at all, so only where all of it is in our hands.
-        if (spec.kind === 'gang' && other.slots.size < spec.tasks) return false;
         // The first tasks of a job that waited long are the newest, and would go again and again.
         if (!this.settled(slot) && this.options.beginner(other.job)) return false;
         return rankOf(spec.priority) < rank;
       })
       .sort(
         (a, b) =>
-          costOf(a) - costOf(b) || (b[0].runningAt ?? Infinity) - (a[0].runningAt ?? Infinity),
+          this.costOf(a) - this.costOf(b) ||
+          (b[0].runningAt ?? Infinity) - (a[0].runningAt ?? Infinity),
       );
   }
 
+  /** Tasks that are stopped with a victim: of a gang all, wherever they run. */
+  private costOf([, chunk]: Victim): number {
+    if (chunk.record.attempt === undefined) return 1;
+    return (this.options.job(chunk.job)?.spec.tasks ?? chunk.slots.size) + 1;
+  }
+
   private stop(spec: JobSpec, place: Place, victims: Victim[], stopped: Set<string>): void {
     for (const [slot, other] of victims) {
       take(place.room, other.record, -1);
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -277,6 +277,7 @@
       ids: writeRanges(chunk.slots.keys()),
       done: writeRanges(done),
       live,
+      ...(chunk.broken ? { stopping: true as const } : {}),
     };
   }
 
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -474,7 +474,9 @@
       const service = { gang: false, service: true, spot: false, urgent: true, spread: true };
       await submit(world, OTHER, { ...service, tasks: 2, cpus: 2 });
       await until(world, 'the service runs', 20, () => world.starts.length >= 2);
-      // The service leaves 6 CPUs in each zone.
+      // The service leaves 6 CPUs in each zone, and no machine can be had in another's place.
+      world.cloudTrouble = true;
+      world.capacity = 0;
       await submit(world, GANG, { tasks: 4, cpus: 2, oneZone: true });
       await world.run(5);
       const arrays = ['j-000010', 'j-000011', 'j-000012'];
@@ -483,6 +485,8 @@
       }
       await ends(world, arrays, 'done', 120);
       assert.equal(begun(world, GANG).length, 0);
+      world.cloudTrouble = false;
+      world.capacity = 4;
       await cancel(world, OTHER);
       await begins(world, GANG, 60);
     },
