--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -1,3 +1,6 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   Refused,
   type Change,
@@ -35,8 +38,17 @@
   txnOps = 8;
   /** The next transactions of these nodes are carried out this much later, unanswered. */
   readonly late = new Map<string, number>();
+  /** ms after which a transaction is carried out, unanswered; null: at once. */
+  hold: (node: string, changes: Change[]) => number | null = () => null;
+  /** This share of all transactions is carried out 2 to 12 s later, unanswered. */
+  lateShare = 0;
+  private readonly random;
 
-  constructor(private readonly clock: SimClock) {
+  constructor(
+    private readonly clock: SimClock,
+    seed = 1,
+  ) {
+    this.random = xoroshiro128plus(seed);
     const tick = (): void => {
       this.expire();
       clock.after(50, tick);
@@ -74,11 +86,40 @@
     const failed = guards
       .filter((guard) => (this.cells.get(guard.key)?.mark ?? 0) !== guard.mark)
       .map((guard) => guard.key);
+    // An expired lease is refused whatever the guards say: also a late copy can't bring it back.
+    for (const one of changes) {
+      if ('lease' in one && one.lease !== undefined && !this.leases.has(one.lease)) {
+        throw new Refused(400);
+      }
+    }
     if (failed.length > 0) return { ok: false, failed };
     if (changes.length > 0) this.change(changes);
     return { ok: true, revision: this.revision };
   }
 
+  /** ms that a transaction is held up; null: not at all. */
+  private delayOf(node: string, changes: Change[]): number | null {
+    if (changes.length === 0) return null;
+    const held = this.hold(node, changes);
+    if (held !== null) return held;
+    if (this.lateShare === 0 || uniformFloat64(this.random) >= this.lateShare) return null;
+    return uniformInt(this.random, 2000, 12_000);
+  }
+
+  /** Carried out late, and nobody hears of it; an outage puts it off. */
+  private carryOut(guards: Guard[], changes: Change[], delayMs: number): void {
+    this.clock.after(delayMs, () => {
+      if (this.outage) this.carryOut(guards, changes, 50);
+      else {
+        try {
+          this.txn(guards, changes);
+        } catch {
+          // Refused: its lease has ended meanwhile.
+        }
+      }
+    });
+  }
+
   private withinLimits(writes: number): boolean {
     if (!this.limits) return true;
     const { rps, writeRps } = this.limits;
@@ -124,7 +165,13 @@
         const delay = this.late.get(node);
         if (delay !== undefined && changes.length > 0) {
           this.late.delete(node);
-          clock.after(delay, () => this.txn(guards, changes));
+          this.carryOut(guards, changes, delay);
+          throw new NoAnswer('held');
+        }
+        const heldMs = this.delayOf(node, changes);
+        if (heldMs !== null) {
+          this.carryOut(guards, changes, heldMs);
+          await new Promise<void>((resolve) => clock.after(2000, resolve));
           throw new NoAnswer('held');
         }
         return this.txn(guards, changes);
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -30,6 +30,8 @@
   holdReportsMs = 0;
   /** Its reports arrive, but answers and commands do not reach it. */
   deaf = false;
+  /** Its reports reach no controller; direct calls reach it. */
+  mute = false;
   /** Copies of its reports come once more so much later, at any node. */
   copyAfterMs: number[] = [];
   private reporting = false;
@@ -136,7 +138,7 @@
     const body = this.reportBody();
     const held = this.holdReportsMs;
     const entry = world.nodes.get(name);
-    const reach = entry !== undefined && !world.cut(name, this.machine.name);
+    const reach = entry !== undefined && !this.mute && !world.cut(name, this.machine.name);
     for (const later of this.copyAfterMs) {
       const [copyTo = ''] = world.members[world.chance(world.members.length)] ?? [];
       world.clock.after(later, () => void world.nodes.get(copyTo)?.node.report(body));
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -5,6 +5,8 @@
 import type { CloudApi } from '../../src/protocol/cloud-api.js';
 import type { PeerMessage } from '../../src/protocol/peer-messages.js';
 import type { Command, ListedMachine, MachineType } from '../../src/protocol/terms.js';
+import { roleKey } from '../../src/bookkeeping/keys.js';
+import type { RoleRecord } from '../../src/bookkeeping/records.js';
 import type { Log } from '../../src/bookkeeping/log.js';
 import type { DirectResult } from '../../src/protocol/worker-api.js';
 import { encodeDirect, parseReport } from '../../src/protocol/worker-codec.js';
@@ -75,14 +77,24 @@
 }
 
 /** A relayed answer's body is still text. */
-function unwrap(reply: { status: number; body: unknown }): { status: number; body: unknown } {
+function unwrap(reply: Reply): Reply {
   const { status, body } = reply;
   return { status, body: typeof body === 'string' ? (JSON.parse(body) as unknown) : body };
 }
 
+export interface Reply {
+  status: number;
+  body: unknown;
+}
+
+/** The state of a job that an answer names. */
+export const stageOf = (reply: Reply): string =>
+  (reply.body as { stage?: string } | null)?.stage ?? '';
+
 export interface SimJob {
   team: string;
   cpus: number;
+  gpus: number;
   tasks: number;
   runS: number;
   service: boolean;
@@ -90,6 +102,10 @@
   zone: string | null;
   oneZone: boolean;
   spread: boolean;
+  /** Allowed machine types; null: any. */
+  types: string[] | null;
+  checkpointS: number;
+  saveS: number;
   cancelledAt: number | null;
   urgent: boolean;
   deadlineS: number | null;
@@ -100,12 +116,19 @@
 /** Controllers, workers, cloud and state service in simulated time, and a judge of the rules. */
 export class World {
   readonly clock = new SimClock();
-  readonly state = new SimState(this.clock);
+  readonly state;
   readonly nodes = new Map<string, { node: ControllerNode; kill: () => void }>();
   readonly workers = new Map<string, SimWorker>();
   readonly jobs = new Map<string, SimJob>();
   readonly broken: string[] = [];
   readonly completed = new Set<string>();
+  /** Starts after a confirmed cancellation: counted apart, since the rules give some time. */
+  readonly startsAfterCancel: string[] = [];
+  /** Jobs that a node called accepted, and the ends that nodes told of jobs, with the time. */
+  readonly accepted = new Set<string>();
+  readonly told = new Map<string, { stage: string; at: number }>();
+  /** Jobs whose users asked to cancel them. */
+  private readonly asked = new Set<string>();
   readonly starts: { task: string; machine: string; at: number }[] = [];
   /** Pairs "x>y" that can't reach each other; x and y are node or machine names. */
   readonly cuts = new Set<string>();
@@ -115,6 +138,8 @@
   capacity = 20;
   /** The cloud takes nothing back. */
   cloudTrouble = false;
+  /** The cloud tells its machine types. */
+  catalog = true;
   private readonly rented = new Map<string, ListedMachine>();
   private readonly requests = new Map<string, string[]>();
   private machineCount = 0;
@@ -130,6 +155,7 @@
     ],
   ) {
     this.random = xoroshiro128plus(seed);
+    this.state = new SimState(this.clock, seed);
     for (const [name] of members) this.boot(name);
   }
 
@@ -225,6 +251,11 @@
     });
   }
 
+  /** The node that holds the leader's role, by the state service. */
+  get leader(): string {
+    return (this.state.cells.get(roleKey('leader'))?.value as RoleRecord | undefined)?.owner ?? '';
+  }
+
   kill(name: string): void {
     this.nodes.get(name)?.kill();
   }
@@ -262,7 +293,10 @@
 
   private cloud(): CloudApi {
     return {
-      types: () => Promise.resolve(structuredClone(TYPES)),
+      types: () =>
+        this.catalog
+          ? Promise.resolve(structuredClone(TYPES))
+          : Promise.reject(new NoAnswer('no catalogue')),
       rent: (request, type, zone, spot, count) => {
         const before = this.requests.get(request);
         if (before) return Promise.resolve({ kind: 'rented', machines: before });
@@ -305,10 +339,17 @@
     this.workers.delete(name);
   }
 
-  submit(id: string, job: Partial<SimJob>, at = 'n0'): Promise<{ status: number; body: unknown }> {
+  /** `raw` overrides fields as sent; undefined leaves one out. */
+  submit(
+    id: string,
+    job: Partial<SimJob>,
+    at = 'n0',
+    raw: Record<string, unknown> = {},
+  ): Promise<Reply> {
     const whole: SimJob = {
       team: 'red',
       cpus: 1,
+      gpus: 0,
       tasks: 4,
       runS: 10,
       service: false,
@@ -316,13 +357,17 @@
       zone: null,
       oneZone: false,
       spread: false,
+      types: null,
+      checkpointS: 0,
+      saveS: 0,
       cancelledAt: null,
       urgent: false,
       broken: false,
       deadlineS: null,
       ...job,
     };
-    this.jobs.set(id, whole);
+    // A repeated submission leaves what is known of the job.
+    if (!this.jobs.has(id)) this.jobs.set(id, whole);
     const body = {
       ref: id,
       lane: 'work',
@@ -331,42 +376,89 @@
       rank: whole.urgent ? 'urgent' : 'normal',
       larvae: whole.tasks,
       cores: whole.cpus,
-      gpus: 0,
+      gpus: whole.gpus,
       memGb: 1,
       cocoon: 'img-1',
       imageGb: 1,
+      breeds: whole.types,
       grove: whole.zone,
       samePlace: whole.oneZone,
       apart: whole.spread,
       windfall: whole.spot,
-      guessS: whole.runS,
+      guessS: whole.service ? 0 : whole.runS,
+      moltS: whole.checkpointS,
+      spinS: whole.saveS,
       duskS: whole.deadlineS,
+      ...raw,
     };
-    const node = this.nodes.get(at)?.node;
-    if (!node) return Promise.resolve({ status: 0, body: null });
-    return new Promise((resolve) => {
-      this.at(at, () => void node.serve('submit', '', JSON.stringify(body)).then(resolve));
-    });
+    return this.ask('submit', id, JSON.stringify(body), at);
   }
 
-  async cancel(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
-    const reply = await this.nodes.get(at)?.node.serve('cancel', id, null);
-    const job = this.jobs.get(id);
-    if (reply?.status === 200 && job) job.cancelledAt ??= this.clock.now();
-    return unwrap(reply ?? { status: 0, body: null });
+  cancel(id: string, at = 'n0'): Promise<Reply> {
+    this.asked.add(id);
+    return this.ask('cancel', id, null, at);
   }
 
-  poll(id: string, at = 'n0'): Promise<{ status: number; body: unknown }> {
+  poll(id: string, at = 'n0'): Promise<Reply> {
+    return this.ask('poll', id, null, at);
+  }
+
+  private ask(
+    kind: 'submit' | 'cancel' | 'poll',
+    id: string,
+    body: string | null,
+    at: string,
+  ): Promise<Reply> {
     const node = this.nodes.get(at)?.node;
-    return node
-      ? new Promise((resolve) => {
-          this.at(at, () => void node.serve('poll', id, null).then((one) => resolve(unwrap(one))));
-        })
-      : Promise.resolve({ status: 0, body: null });
+    if (!node) return Promise.resolve({ status: 0, body: null });
+    const askedAt = this.clock.now();
+    return new Promise((resolve) => {
+      this.at(at, () => {
+        void node.serve(kind, kind === 'submit' ? '' : id, body).then((raw) => {
+          const reply = unwrap(raw);
+          this.judge(kind, id, askedAt, reply);
+          resolve(reply);
+        });
+      });
+    });
   }
 
   // --- The judge -----------------------------------------------------------------------------
 
+  /** What a node tells a user: ends stay, accepted jobs stay known, `done` means done. */
+  private judge(kind: string, id: string, askedAt: number, reply: Reply): void {
+    const now = this.clock.now();
+    const known = this.accepted.has(id);
+    if (reply.status === 404 && known) this.broken.push(`forgotten ${id} (${kind})`);
+    if (kind === 'submit' && (reply.status === 400 || reply.status === 422) && known) {
+      this.broken.push(`forgotten ${id} (submission ${reply.status})`);
+    }
+    if (reply.status !== 200 && reply.status !== 201) return;
+    const stage = stageOf(reply);
+    const job = this.jobs.get(id);
+    if (kind === 'submit') this.accepted.add(id);
+    else if (!this.jobs.has(id)) this.broken.push(`invented ${id} (${kind})`);
+    const before = this.told.get(id);
+    if (before && before.at <= askedAt && before.stage !== stage) {
+      this.broken.push(`went_back ${id} ${before.stage} to ${stage}`);
+    }
+    if (before && (stage === 'done' || stage === 'withdrawn') && before.stage !== stage) {
+      this.broken.push(`went_back ${id}: both ${before.stage} and ${stage}`);
+    }
+    if (stage === 'withdrawn' && !this.asked.has(id)) {
+      this.broken.push(`went_back ${id} withdrawn, though nobody asked for it`);
+    }
+    if (stage === 'done') {
+      for (let index = 0; index < (job?.tasks ?? 0); index++) {
+        if (!this.completed.has(`${id}/${index}`)) this.broken.push(`not_done ${id}/${index}`);
+      }
+    }
+    if (stage === 'withdrawn' && job) job.cancelledAt ??= now;
+    if (!before && (stage === 'done' || stage === 'withdrawn')) {
+      this.told.set(id, { stage, at: now });
+    }
+  }
+
   /** Called by a worker when a task gets on its machine. */
   started(worker: SimWorker, task: string): void {
     const [id = ''] = task.split('/');
@@ -385,6 +477,7 @@
       }
     }
     if (!job) return;
+    if (job.cancelledAt !== null) this.startsAfterCancel.push(task);
     if (job.cancelledAt !== null && this.clock.now() - job.cancelledAt > 50_000) {
       this.broken.push(`ran_cancelled ${task} starts`);
     }
