--- a/src/constants.ts
+++ b/src/constants.ts
@@ -272,6 +272,9 @@
 export const IDLE_KEEP_MOST = 4;
 /** Urgent jobs of the usual size for which lower work of the same team leaves room in its limit. */
 export const URGENT_RESERVE = 2;
+/** Share of a team's limit that this may take at the most: a large urgent job would else shut out all
+ * lower work of a small team, though it already runs. */
+export const RESERVE_SHARE = 0.25;
 /** ms; pace at which a part looks for a little-used machine whose services could move. */
 export const GATHER_MS = 15_000;
 /** ms; a replica younger than this stays: stopping it would undo its start. */
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -5,6 +5,7 @@
   LATE_ROOM,
   QUEUE_REFILL,
   QUEUE_S,
+  RESERVE_SHARE,
   STARVED_MS,
   STARVED_SHARE,
   URGENT_RESERVE,
@@ -315,7 +316,8 @@
     for (const { spec } of this.view.openJobs()) {
       if (rankOf(spec.priority) < URGENT) continue;
       const cpus = spec.cpus * (spec.kind === 'array' ? 1 : spec.tasks) * URGENT_RESERVE;
-      reserves.set(spec.team, Math.max(reserves.get(spec.team) ?? 0, cpus));
+      const most = (this.teams.get(spec.team)?.cpusMax ?? 0) * RESERVE_SHARE;
+      reserves.set(spec.team, Math.max(reserves.get(spec.team) ?? 0, Math.min(cpus, most)));
     }
     return reserves;
   }
--- a/test/gang-world.test.ts
+++ b/test/gang-world.test.ts
@@ -362,7 +362,8 @@
       const node = { serve: () => Promise.resolve({ status: 200, body: { stage: 'done' } }) };
       world.nodes.set('n0', { node: node as never, kill: () => undefined });
       await settle(world.poll(JOB), world);
-      assert.deepEqual(world.broken, [`not_done ${JOB}: 0 of 3`]);
+      const missing = [0, 1, 2].map((index) => `not_done ${JOB}/${index}`);
+      assert.deepEqual(world.broken, missing);
       world.broken.length = 0;
     },
   },
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -401,7 +401,7 @@
         ...{ samePlace: false, apart: false, windfall: true, guessS: 10, moltS: 0, spinS: 0 },
         duskS: null,
       };
-      const cases: [string, unknown, number][] = [
+      const cases: [string, object, number][] = [
         ['one task more than the limit', { ...body, larvae: 9 }, 422],
         ['no task', { ...body, larvae: 0 }, 400],
         ['tasks missing', { ...body, larvae: undefined }, 400],
