Settings: announced limits of the state service and the gang times

The state service's announced limits come into force without notice, so of each pair the stricter counts from the start. Gang times are read where the deployment has them. Shown by the rows in test/units.test.ts, bad input told in one line included.

--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -6,6 +6,14 @@
 const positive = v.pipe(v.number(), v.gtValue(0));
 const amount = v.pipe(v.number(), v.minValue(0));
 
+/** The limits of the state service. */
+const stateLimits = {
+  rps: positive,
+  write_rps: positive,
+  value_kb: positive,
+  txn_ops: v.pipe(v.number(), v.integer(), v.minValue(2)),
+};
+
 const platform = v.object({
   node_name: v.pipe(v.string(), v.minLength(1)),
   site: v.pipe(v.string(), v.minLength(1)),
@@ -41,12 +49,16 @@
       ),
       [],
     ),
-    workers: v.object({ report_s: positive, lease_s: positive, cancel_s: positive }),
+    workers: v.object({
+      report_s: positive,
+      lease_s: positive,
+      cancel_s: positive,
+      gang_wait_s: v.optional(positive),
+      gang_peer_s: v.optional(positive),
+    }),
     state: v.object({
-      rps: positive,
-      write_rps: positive,
-      value_kb: positive,
-      txn_ops: v.pipe(v.number(), v.integer(), v.minValue(2)),
+      ...stateLimits,
+      next: v.optional(v.partial(v.object(stateLimits)), {}),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     resources: v.object({ cores: positive, mem_mb: positive, fd_limit: positive }),
@@ -98,6 +110,11 @@
   reportS: number;
   leaseS: number;
   cancelS: number;
+  /** Seconds after which a gang that isn't complete ends; null: the deployment has no gangs. */
+  gangWaitS: number | null;
+  /** Seconds within which a gang's tasks notice the end or the stop of another; null: likewise. */
+  gangPeerS: number | null;
+  /** The state service's limits: of the present ones and the announced ones the stricter. */
   stateRps: number;
   stateWriteRps: number;
   valueBytes: number;
@@ -146,6 +163,10 @@
     operatorsFile === null ? {} : readToml(operatorsFile),
   );
   const { params } = raw;
+  // Announced limits come into force without notice, so they are kept from the start.
+  const { next, ...present } = params.state;
+  const stricter = (name: keyof typeof present): number =>
+    Math.min(present[name], next[name] ?? Infinity);
   if (params.workers.lease_s >= params.workers.cancel_s) {
     throw new SettingsError(platformFile, 'params.workers.cancel_s: must be above lease_s');
   }
@@ -184,10 +205,12 @@
     reportS: params.workers.report_s,
     leaseS: params.workers.lease_s,
     cancelS: params.workers.cancel_s,
-    stateRps: params.state.rps,
-    stateWriteRps: params.state.write_rps,
-    valueBytes: params.state.value_kb * 1024,
-    txnOps: params.state.txn_ops,
+    gangWaitS: params.workers.gang_wait_s ?? null,
+    gangPeerS: params.workers.gang_peer_s ?? null,
+    stateRps: stricter('rps'),
+    stateWriteRps: stricter('write_rps'),
+    valueBytes: Math.floor(stricter('value_kb') * 1024),
+    txnOps: stricter('txn_ops'),
     cloudRps: params.cloud.rps,
     listLagS: params.cloud.list_lag_s,
     sockets: params.resources.fd_limit,
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -312,7 +312,30 @@
   assert.equal(settings.leaseS, 24);
   assert.equal(settings.placement.alpha, 0.5);
   assert.equal(settings.peers.length, 1);
+  assert.deepEqual([settings.gangWaitS, settings.gangPeerS], [null, null]);
+  // Announced limits count from the start where they are stricter, and only there.
+  const next = (fields: string): string =>
+    SETTINGS.replace('[params.cloud]', `[params.state.next]\n${fields}\n[params.cloud]`);
+  const gangs = (fields: string): string =>
+    SETTINGS.replace('cancel_s = 54.0', `cancel_s = 54.0\n${fields}`);
+  const lowered = read(next('rps = 200.0\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 2'));
+  assert.deepEqual(
+    [lowered.stateRps, lowered.stateWriteRps, lowered.valueBytes, lowered.txnOps],
+    [150, 18, 2048, 2],
+  );
+  const partly = read(next('txn_ops = 4'));
+  assert.deepEqual([partly.stateWriteRps, partly.valueBytes, partly.txnOps], [60, 8192, 4]);
+  const timed = read(gangs('gang_wait_s = 35.0\ngang_peer_s = 8.0'));
+  assert.deepEqual([timed.gangWaitS, timed.gangPeerS], [35, 8]);
   const cases: [string, string | null, RegExp][] = [
+    [next('rps = 0'), null, /settings\.toml: params\.state\.next\.rps/],
+    [next('write_rps = "few"'), null, /settings\.toml: params\.state\.next\.write_rps/],
+    [next('value_kb = -2.0'), null, /settings\.toml: params\.state\.next\.value_kb/],
+    [next('txn_ops = 1'), null, /settings\.toml: params\.state\.next\.txn_ops/],
+    [next('txn_ops = 4.5'), null, /settings\.toml: params\.state\.next\.txn_ops/],
+    [gangs('gang_wait_s = 0'), null, /settings\.toml: params\.workers\.gang_wait_s/],
+    [gangs('gang_peer_s = "soon"'), null, /settings\.toml: params\.workers\.gang_peer_s/],
+
     ['x = [', null, /settings\.toml: no TOML/],
     [SETTINGS.replace('site = "a"', ''), null, /settings\.toml: site/],
     [SETTINGS.replace('rps = 150.0', 'rps = "many"'), null, /params\.state\.rps/],
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -62,6 +62,8 @@
     reportS: 3,
     leaseS: 24,
     cancelS: 50,
+    gangWaitS: 35,
+    gangPeerS: 8,
     stateRps: 80,
     stateWriteRps: 25,
     valueBytes: 8192,
