A transaction that the state service calls invalid is told and left alone

A 400 was taken for a conflict and could be tried for ever, unchanged. It is now an own result, logged as an error with keys and sizes; what it was about pauses, longer each time, and then goes alone so that others are rid of it. An ended lease stays a conflict. A submission whose record fits no value gets 422; a batch counts bytes, not characters. A registration takes along only as many roles as the transaction holds.

--- a/src/bookkeeping/committer.ts
+++ b/src/bookkeeping/committer.ts
@@ -1,6 +1,12 @@
 import { isDeepStrictEqual } from 'node:util';
 import { BACKOFF_FIRST_MS, BACKOFF_LAST_MS } from '../constants.js';
-import { Refused, type Change, type Guard, type StateApi } from '../protocol/state-api.js';
+import {
+  NO_SUCH_LEASE,
+  Refused,
+  type Change,
+  type Guard,
+  type StateApi,
+} from '../protocol/state-api.js';
 import { Backoff } from '../transport/backoff.js';
 import { sleep, type Clock } from '../transport/clock.js';
 import type { Gate, Purpose } from './gate.js';
@@ -12,7 +18,12 @@
   /** These keys are not as the guards said; the view has been read anew for them. */
   | { kind: 'conflict'; failed: string[] }
   /** Not carried out, and no longer tried; `unsure`: it may still be carried out. */
-  | { kind: 'givenUp'; unsure: boolean };
+  | { kind: 'givenUp'; unsure: boolean }
+  /** The state service takes no such transaction, too large for one; `unsure`: as above. */
+  | { kind: 'invalid'; unsure: boolean };
+
+/** Bytes that a value takes in the state service. */
+export const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value) ?? '');
 
 /**
  * Carries transactions out to a known end. A transaction without an answer may be applied late, so
@@ -56,7 +67,13 @@
         return { kind: 'conflict', failed: result.failed };
       } catch (error) {
         if (error instanceof Refused) {
-          if (error.status === 400) return { kind: 'conflict', failed: [] };
+          if (error.status === 400 && error.reason === NO_SUCH_LEASE) {
+            return { kind: 'conflict', failed: [] };
+          }
+          if (error.status === 400) {
+            this.tellInvalid(purpose, guards, changes, error.reason);
+            return { kind: 'invalid', unsure };
+          }
           if (error.status === 429) this.gate.refused(changes.length);
         } else {
           unsure = true;
@@ -67,6 +84,27 @@
     }
   }
 
+  /** A fault of this program or a limit that it does not know: the operators must hear of it. */
+  private tellInvalid(
+    purpose: Purpose,
+    guards: Guard[],
+    changes: Change[],
+    reason: string | null,
+  ): void {
+    const sizes = changes.map((change) => ('remove' in change ? 0 : bytesOf(change.value)));
+    this.log.error(
+      {
+        purpose,
+        reason,
+        keys: changes.map((change) => change.key),
+        guards: guards.length,
+        largestValueBytes: Math.max(0, ...sizes),
+        transactionBytes: bytesOf({ guards, changes }),
+      },
+      'state service calls a transaction invalid',
+    );
+  }
+
   private adopt(changes: Change[], revision: number): void {
     this.view.applyOwn(
       changes.map((change) => ({
--- /dev/null
+++ b/src/bookkeeping/pauses.ts
@@ -0,0 +1,45 @@
+import { INVALID_PAUSE_FIRST_MS, INVALID_PAUSE_LAST_MS } from '../constants.js';
+import type { Clock } from '../transport/clock.js';
+
+/**
+ * What a transaction was about that the state service calls invalid. Sent again it would be refused
+ * again, so it is left alone for a while, longer each time, and what else there is goes on.
+ */
+export class Pauses {
+  private readonly held = new Map<string, { count: number; until: number }>();
+
+  constructor(private readonly clock: Clock) {}
+
+  add(about: string): void {
+    const count = this.held.get(about)?.count ?? 0;
+    const pause = Math.min(INVALID_PAUSE_FIRST_MS * 2 ** count, INVALID_PAUSE_LAST_MS);
+    this.held.set(about, { count: count + 1, until: this.clock.now() + pause });
+  }
+
+  /** Told that it was carried out, or is no longer there. */
+  clear(about: string): void {
+    this.held.delete(about);
+  }
+
+  has(about: string): boolean {
+    return (this.held.get(about)?.until ?? -Infinity) > this.clock.now();
+  }
+
+  /**
+   * How many of these may share the next transaction, at most so many. What was in an invalid one
+   * goes alone, so that the one that is to blame shows and the others are rid of it.
+   */
+  together(abouts: readonly string[], most: number): number {
+    const suspect = abouts.slice(0, most).findIndex((about) => this.held.has(about));
+    if (suspect >= 0) return Math.max(1, suspect);
+    return Math.min(most, abouts.length);
+  }
+
+  /** Forgets what was not tried again for long: it is no longer there. */
+  sweep(): void {
+    const now = this.clock.now();
+    for (const [about, { until }] of this.held) {
+      if (now - until > INVALID_PAUSE_LAST_MS) this.held.delete(about);
+    }
+  }
+}
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -45,6 +45,10 @@
 /** ms; first and longest pause after a failed request; the pause doubles in between. */
 export const BACKOFF_FIRST_MS = 100;
 export const BACKOFF_LAST_MS = 2_000;
+/** ms; first and longest pause of what the state service called invalid: it stays so until limits or
+ * records change, and others should not wait for it. */
+export const INVALID_PAUSE_FIRST_MS = 2_000;
+export const INVALID_PAUSE_LAST_MS = 60_000;
 /** ms; the same for the cloud, whose requests nobody waits for. */
 export const CLOUD_BACKOFF_FIRST_MS = 500;
 export const CLOUD_BACKOFF_LAST_MS = 8_000;
@@ -126,6 +130,8 @@
 export const CHUNK_TASK_BYTES = 56;
 /** Bytes that a chunk's record takes beside its placed tasks. */
 export const CHUNK_BYTES = 600;
+/** Bytes that a submission takes in a transaction beside its job's record: its keys, twice. */
+export const SUBMIT_BYTES = 400;
 /** Submissions waiting for their commit in one node; more are told to come back. */
 export const SUBMIT_QUEUE = 256;
 /** Polls and checks waiting in one node; more are told to come back. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -24,6 +24,7 @@
 import { CATALOG, MACHINES, machineKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { MachineRecord, MachineState } from '../bookkeeping/records.js';
+import { Pauses } from '../bookkeeping/pauses.js';
 import type { View } from '../bookkeeping/view.js';
 import type { CloudApi } from '../protocol/cloud-api.js';
 import type { Change, Guard } from '../protocol/state-api.js';
@@ -79,6 +80,8 @@
   /** What was read of a list so far. */
   private listing: ListedMachine[] | null = null;
   private catalogAt = -Infinity;
+  /** Machines, and keys, whose changes the state service called invalid. */
+  private readonly pauses: Pauses;
 
   constructor(
     private readonly options: FleetOptions,
@@ -90,6 +93,7 @@
     random: () => number,
   ) {
     this.backoff = new Backoff(CLOUD_BACKOFF_FIRST_MS, CLOUD_BACKOFF_LAST_MS, random);
+    this.pauses = new Pauses(clock);
     const rate = options.cloudRps * CLOUD_SHARE;
     this.budget = new Budget(clock, rate, Math.max(1, rate));
   }
@@ -97,6 +101,7 @@
   async round(picture: Picture): Promise<void> {
     if (this.busy || this.clock.now() < this.pausedUntil) return;
     this.busy = true;
+    this.pauses.sweep();
     try {
       await this.refreshCatalog();
       if (!this.view.get(CATALOG)) return;
@@ -129,17 +134,19 @@
     if (!types) return;
     this.catalogAt = now;
     const held = this.view.get<MachineType[]>(CATALOG);
-    if (JSON.stringify(held?.value) === JSON.stringify(types)) return;
+    if (JSON.stringify(held?.value) === JSON.stringify(types) || this.pauses.has(CATALOG)) return;
     const guards = [
       { key: this.options.roleKey, mark: this.options.roleMark },
       { key: CATALOG, mark: held?.mark ?? 0 },
     ];
-    await this.committer.commit(
+    const result = await this.committer.commit(
       'leader',
       guards,
       [{ key: CATALOG, value: types }],
       this.options.alive,
     );
+    if (result.kind === 'invalid') this.pauses.add(CATALOG);
+    else this.pauses.clear(CATALOG);
   }
 
   /** Writes the leader's word on machines; false: not written. */
@@ -147,19 +154,27 @@
     machines: { name: string; type: string; zone: string; spot: boolean }[],
     state: MachineState,
   ): Promise<boolean> {
-    for (let at = 0; at < machines.length; at += this.options.txnOps) {
+    const due = machines.filter((one) => !this.pauses.has(one.name));
+    const names = due.map((one) => one.name);
+    for (let at = 0; at < due.length;) {
+      const group = due.slice(at, at + this.pauses.together(names.slice(at), this.options.txnOps));
+      at += group.length;
       const guards: Guard[] = [{ key: this.options.roleKey, mark: this.options.roleMark }];
       const changes: Change[] = [];
-      for (const { name, type, zone, spot } of machines.slice(at, at + this.options.txnOps)) {
+      for (const { name, type, zone, spot } of group) {
         const key = machineKey(name);
         const value: MachineRecord = { state, type, zone, spot, at: this.clock.wall() };
         guards.push({ key, mark: this.view.markOf(key) });
         changes.push({ key, value });
       }
       const result = await this.committer.commit('leader', guards, changes, this.options.alive);
+      for (const { name } of group) {
+        if (result.kind === 'invalid') this.pauses.add(name);
+        else this.pauses.clear(name);
+      }
       if (result.kind !== 'done') return false;
     }
-    return true;
+    return due.length === machines.length;
   }
 
   // --- Returning -----------------------------------------------------------------------------
@@ -194,7 +209,7 @@
     for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
       const name = key.slice(MACHINES.length);
       const record = held.value;
-      if (record.state === 'gone') continue;
+      if (record.state === 'gone' || this.pauses.has(name)) continue;
       const boot = (types.get(record.type)?.bootS ?? 60) * 1000;
       const patience = Math.max(boot * STUCK_BOOTS, boot + STUCK_LEAST_MS);
       const stuck = bootingNames.has(name) && wall - record.at > patience;
@@ -282,9 +297,10 @@
       headroom -= loss;
       drain.push(machine);
     }
-    if (drain.length === 0) return;
-    if (await this.mark(drain, 'drain')) {
-      this.log.info({ machines: drain.map((one) => one.name) }, 'machines taken out of use');
+    const due = drain.filter((one) => !this.pauses.has(one.name));
+    if (due.length === 0) return;
+    if (await this.mark(due, 'drain')) {
+      this.log.info({ machines: due.map((one) => one.name) }, 'machines taken out of use');
     }
   }
 
@@ -548,8 +564,9 @@
       guards.push({ key, mark: held.mark });
       changes.push({ key, remove: true });
     }
-    if (changes.length > 0) {
-      await this.committer.commit('leader', guards, changes, this.options.alive);
-    }
+    if (changes.length === 0 || this.pauses.has(MACHINES)) return;
+    const result = await this.committer.commit('leader', guards, changes, this.options.alive);
+    if (result.kind === 'invalid') this.pauses.add(MACHINES);
+    else this.pauses.clear(MACHINES);
   }
 }
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -4,12 +4,13 @@
   GUARDS_PER_OP,
   POLL_LIMIT_MS,
   RETRY_AFTER_S,
+  SUBMIT_BYTES,
   SUBMIT_LIMIT_MS,
   SUBMIT_QUEUE,
   TXN_BYTES,
   WATCHED_MS,
 } from '../constants.js';
-import type { Committer } from '../bookkeeping/committer.js';
+import { bytesOf, type Committer } from '../bookkeeping/committer.js';
 import type { Gate } from '../bookkeeping/gate.js';
 import { CATALOG, finalKey, jobKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
@@ -41,9 +42,12 @@
   cancel: () => void;
 }
 
+/** What became of a submission; 'invalid': the state service can't hold it. */
+type Accepted = 'accepted' | 'known' | 'unsure' | 'invalid';
+
 interface Submission {
   spec: JobSpec;
-  resolve: (result: 'accepted' | 'known' | 'unsure') => void;
+  resolve: (result: Accepted) => void;
   settled: boolean;
   cancel: () => void;
 }
@@ -72,6 +76,8 @@
   return fit ? null : 'larvae: a task fits no allowed machine type';
 }
 
+const TOO_LARGE = 'body: larger than the service can keep';
+
 const later = (status: number, error: string): HttpReply => ({
   status,
   body: { error },
@@ -107,6 +113,8 @@
     private readonly committed: (jobs: string[]) => void,
     /** ms between two checking transactions: what comes meanwhile shares the next. */
     private readonly checkMs: number,
+    /** Bytes that the state service takes for one job's record. */
+    private readonly valueBytes: number,
   ) {
     view.onFresh((sentAt) => this.fresh(sentAt));
   }
@@ -136,7 +144,11 @@
     if (known) return { status: 200, body: encodeJobState(id, known.state) };
     const parsed = parseSubmission(json.value);
     const types = this.view.get<MachineType[]>(CATALOG)?.value ?? null;
-    const reason = parsed.ok ? neverRuns(parsed.value, this.teams, types) : parsed.error;
+    let reason = parsed.ok ? neverRuns(parsed.value, this.teams, types) : parsed.error;
+    // Accepted it could never be written, and its user would be told to come back for ever.
+    if (parsed.ok && reason === null && this.recordBytes(parsed.value) > this.valueBytes) {
+      reason = TOO_LARGE;
+    }
     if (!parsed.ok || reason !== null) {
       const stored = await this.check(id, SUBMIT_LIMIT_MS);
       if (stored === 'unsure') return later(503, 'state service does not answer');
@@ -154,10 +166,16 @@
         return { status: 200, body: encodeJobState(id, stored.state) };
       }
     }
+    if (result === 'invalid') return { status: 422, body: { error: TOO_LARGE } };
     return later(503, 'not committed in time');
   }
 
-  private accept(spec: JobSpec): Promise<'accepted' | 'known' | 'unsure'> {
+  private recordBytes(spec: JobSpec): number {
+    const value: JobRecord = { spec, at: this.clock.wall() };
+    return bytesOf(value);
+  }
+
+  private accept(spec: JobSpec): Promise<Accepted> {
     return new Promise((resolve) => {
       const cancel = this.clock.after(SUBMIT_LIMIT_MS, () => this.settle(submission, 'unsure'));
       const submission: Submission = { spec, resolve, settled: false, cancel };
@@ -169,7 +187,7 @@
     });
   }
 
-  private settle(submission: Submission, result: 'accepted' | 'known' | 'unsure'): void {
+  private settle(submission: Submission, result: Accepted): void {
     if (submission.settled) return;
     submission.settled = true;
     submission.cancel();
@@ -187,19 +205,23 @@
   }
 
   private async commitGroup(): Promise<void> {
-    let group: Submission[] = [];
+    const group: Submission[] = [];
     let bytes = 0;
     const ids = new Set<string>();
     while (group.length < this.txnOps && this.submissions.length > 0) {
       const next = this.submissions[0];
       if (!next || ids.has(next.spec.id)) break;
-      bytes += JSON.stringify(next.spec).length + 400;
+      bytes += this.recordBytes(next.spec) + SUBMIT_BYTES;
       if (group.length > 0 && bytes > TXN_BYTES) break;
       this.submissions.shift();
       if (next.settled) continue;
       ids.add(next.spec.id);
       group.push(next);
     }
+    await this.commitJobs(group);
+  }
+
+  private async commitJobs(group: Submission[]): Promise<void> {
     while (group.length > 0) {
       const guards: Guard[] = [];
       const changes: Change[] = [];
@@ -221,6 +243,12 @@
         for (const one of group) this.settle(one, 'unsure');
         return;
       }
+      if (result.kind === 'invalid') {
+        // One job must not take the others down: each is tried on its own, and then told.
+        if (group.length > 1) for (const one of group) await this.commitJobs([one]);
+        else for (const one of group) this.settle(one, result.unsure ? 'unsure' : 'invalid');
+        return;
+      }
       const failed = new Set(result.failed);
       const isKnown = ({ spec }: Submission): boolean =>
         failed.has(jobKey(spec.id)) || failed.has(finalKey(spec.id));
@@ -411,7 +439,7 @@
         this.committed([id]);
         return { status: 200, body: encodeJobState(id, 'cancelled') };
       }
-      if (result.kind === 'givenUp') break;
+      if (result.kind === 'givenUp' || result.kind === 'invalid') break;
       const known = await this.check(id, POLL_LIMIT_MS);
       if (known !== 'unsure' && known?.final) {
         return { status: 200, body: encodeJobState(id, known.state) };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -19,6 +19,7 @@
   jobKey,
 } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
+import { Pauses } from '../bookkeeping/pauses.js';
 import { writeRanges } from '../bookkeeping/ranges.js';
 import type {
   ChunkRecord,
@@ -136,6 +137,8 @@
   private readonly teams: ReadonlyMap<string, Team>;
   private readonly ledger: Ledger;
   private readonly arrivals: Arrivals;
+  /** Jobs whose changes the state service called invalid. */
+  private readonly pauses: Pauses;
   private busy = false;
   /** ms that the last round took, its waiting for the state service aside. */
   costMs = 0;
@@ -149,6 +152,7 @@
     private readonly log: Log,
   ) {
     this.teams = new Map(options.teams.map((team) => [team.name, team]));
+    this.pauses = new Pauses(clock);
     this.ledger = new Ledger(view, clock);
     this.arrivals = new Arrivals(view, clock);
   }
@@ -165,6 +169,7 @@
     this.busy = true;
     try {
       this.ledger.refresh();
+      this.pauses.sweep();
       await this.finishJobs();
       return this.view.whole ? await this.assign() : new Set();
     } finally {
@@ -181,6 +186,7 @@
   private async finishJobs(): Promise<void> {
     const over: { id: string; mark: number; tasks: number }[] = [];
     for (const id of this.ledger.ripe) {
+      if (this.pauses.has(id)) continue;
       const held = this.view.get<JobRecord>(jobKey(id));
       const tasks = held?.value.spec.tasks ?? Infinity;
       if (held && (this.ledger.jobs.get(id)?.done ?? 0) >= tasks) {
@@ -188,8 +194,10 @@
       } else this.ledger.ripe.delete(id);
     }
     const perTxn = Math.max(1, Math.floor(this.options.txnOps / 2));
-    for (let at = 0; at < over.length; at += perTxn) {
-      const group = over.slice(at, at + perTxn);
+    for (let at = 0; at < over.length;) {
+      const ids = over.slice(at).map((one) => one.id);
+      const group = over.slice(at, at + this.pauses.together(ids, perTxn));
+      at += group.length;
       const guards = this.guards();
       const changes: Change[] = [];
       for (const { id, mark, tasks } of group) {
@@ -200,6 +208,10 @@
       const result = await this.committer.commit('leader', guards, changes, this.options.alive);
       this.log.info({ jobs: group.map((one) => one.id), result: result.kind }, 'jobs done');
       if (result.kind === 'givenUp') return;
+      for (const { id } of group) {
+        if (result.kind === 'invalid') this.pauses.add(id);
+        else this.pauses.clear(id);
+      }
     }
   }
 
@@ -279,7 +291,7 @@
     const changes: { key: string; value: ChunkRecord }[] = [];
     const urgentKeys = new Set<string>();
     for (const job of open) {
-      if (job.unassigned === 0) continue;
+      if (job.unassigned === 0 || this.pauses.has(job.id)) continue;
       const team = this.teams.get(job.spec.team);
       const use = used.get(job.spec.team) ?? { cpus: 0, gpus: 0 };
       used.set(job.spec.team, use);
@@ -333,8 +345,10 @@
     };
     this.costMs = this.clock.now() - startedAt;
     const parts = new Set<string>();
-    for (let at = 0; at < changes.length; at += this.options.txnOps) {
-      const group = changes.slice(at, at + this.options.txnOps);
+    for (let at = 0; at < changes.length;) {
+      const about = changes.slice(at).map((one) => one.key.split('/').at(-2) ?? '');
+      const group = changes.slice(at, at + this.pauses.together(about, this.options.txnOps));
+      at += group.length;
       const jobs = new Set(group.map((one) => one.key.split('/').at(-2) ?? ''));
       const guards = this.guards();
       for (const one of group) guards.push({ key: one.key, mark: 0 });
@@ -348,6 +362,10 @@
       const purpose = urgent ? 'urgent' : 'leader';
       const result = await this.committer.commit(purpose, guards, group, this.options.alive);
       this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
+      for (const job of jobs) {
+        if (result.kind === 'invalid') this.pauses.add(job);
+        else this.pauses.clear(job);
+      }
       if (result.kind !== 'done') break;
       // Lower work queues ahead of its room: its parts see it with their next look.
       if (urgent) for (const one of group) parts.add(one.key.split('/').at(-3) ?? '');
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -143,6 +143,7 @@
       this.committer,
       clock,
       log,
+      settings.txnOps,
     );
     this.front = new Front(
       settings.teams,
@@ -155,6 +156,7 @@
       log,
       (jobs) => this.tellOf(jobs),
       spacing(CHECK_SHARE),
+      settings.valueBytes,
     );
     const leading = (): number => (this.leader ? LOOP_MS : LOOP_IDLE_MS);
     this.rolesLoop = this.loop(
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -30,6 +30,7 @@
 import type { Gate } from '../bookkeeping/gate.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { ChunkRecord, StatusRecord } from '../bookkeeping/records.js';
+import { Pauses } from '../bookkeeping/pauses.js';
 import type { View } from '../bookkeeping/view.js';
 import type { Change, Guard } from '../protocol/state-api.js';
 import {
@@ -92,6 +93,8 @@
   private bandit: Bandit | null = null;
   private placing: Placing | null = null;
   private readonly failures = new Map<string, { count: number; until: number }>();
+  /** Keys whose changes the state service called invalid. */
+  private readonly withheld: Pauses;
   /** Machines for which there may be commands that are not in any answer yet. */
   private readonly stirred = new Set<string>();
   /** Chunks of jobs that are over. */
@@ -111,6 +114,7 @@
     private readonly log: Log,
     private readonly wake: () => void,
   ) {
+    this.withheld = new Pauses(clock);
     this.machines = new Machines(options, view, clock);
     this.tasks = new Tasks(options.part, view, clock);
     for (const chunk of this.tasks.chunks.values()) this.noteEnd(chunk);
@@ -400,6 +404,7 @@
   async round(): Promise<void> {
     if (this.busy) return;
     this.busy = true;
+    this.withheld.sweep();
     try {
       const placing = this.placing ?? (await this.loadPlacing());
       if (!placing) return;
@@ -545,7 +550,9 @@
     const now = this.clock.now();
     for (const chunk of this.ended) if (this.over(chunk)) this.tasks.touch(chunk);
     const ready: Chunk[] = [];
-    for (const chunk of this.tasks.dirty) if (this.due(chunk, now)) ready.push(chunk);
+    for (const chunk of this.tasks.dirty) {
+      if (!this.withheld.has(chunk.key) && this.due(chunk, now)) ready.push(chunk);
+    }
     return ready.sort((a, b) => Number(this.urgent(b)) - Number(this.urgent(a)));
   }
 
@@ -562,8 +569,9 @@
       const old = left.some((chunk) => now - (chunk.dirtySince ?? now) > YIELD_MS);
       const most = Math.min(left.length, this.options.txnOps);
       if (!urgent && !old && !this.options.gate.hasRoom(most)) return;
-      for (const chunk of left) {
-        if (changes.length >= this.options.txnOps || this.urgent(chunk) !== urgent) break;
+      const keys = left.map((chunk) => chunk.key);
+      for (const chunk of left.slice(0, this.withheld.together(keys, this.options.txnOps))) {
+        if (this.urgent(chunk) !== urgent) break;
         bytes += CHUNK_BYTES + chunk.placed * CHUNK_TASK_BYTES;
         if (bytes > TXN_BYTES && changes.length > 0) break;
         // A machine that the leader takes out of use meanwhile gets no new task: each is guarded,
@@ -591,10 +599,16 @@
       if (result.kind !== 'done') {
         // Nothing of this was written, or another's word is newer: what is stored counts again.
         this.log.info({ result }, 'placements not committed');
-        for (const { chunk } of written) this.tasks.resync(chunk);
+        for (const { chunk } of written) {
+          if (result.kind === 'invalid') this.withheld.add(chunk.key);
+          this.tasks.resync(chunk);
+        }
         return;
       }
-      for (const one of written) this.stored(one);
+      for (const one of written) {
+        this.withheld.clear(one.chunk.key);
+        this.stored(one);
+      }
       this.stir(machines);
       if (urgent) this.options.written();
       this.sendDirect();
--- a/src/coordination/roles.ts
+++ b/src/coordination/roles.ts
@@ -12,6 +12,7 @@
 import { nodeKey, roleKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { NodeRecord, RoleRecord } from '../bookkeeping/records.js';
+import { Pauses } from '../bookkeeping/pauses.js';
 import type { View } from '../bookkeeping/view.js';
 import type { Change, Guard, StateApi } from '../protocol/state-api.js';
 import type { Clock } from '../transport/clock.js';
@@ -64,6 +65,9 @@
   record: RoleRecord;
 }
 
+/** What a pause of the registration is kept under; no role has this name. */
+const REGISTRATION = 'registration';
+
 export const LEADER = 'leader';
 export const partRole = (part: string): string => `part-${part}`;
 
@@ -73,6 +77,7 @@
   private readonly freeSince = new Map<string, number>();
   private busy = false;
   private renewedAt = -Infinity;
+  private readonly pauses: Pauses;
   readonly startedAt: number;
   readonly grace: number;
 
@@ -87,7 +92,9 @@
     private readonly committer: Committer,
     private readonly clock: Clock,
     private readonly log: Log,
+    private readonly txnOps: number,
   ) {
+    this.pauses = new Pauses(clock);
     this.startedAt = clock.now();
     this.grace = graceMs(timing);
   }
@@ -156,6 +163,7 @@
       this.log.warn({}, 'member lease ended, asking for a new one');
       this.lease = null;
     }
+    if (this.pauses.has(REGISTRATION)) return;
     await this.gate.pass('role', 0);
     const lease = await this.api.grant(MEMBER_TTL_MS);
     const value: NodeRecord = { incarnation: this.incarnation };
@@ -166,7 +174,12 @@
       { key: nodeKey(this.self.node), mark: this.view.markOf(nodeKey(this.self.node)) },
     ];
     // Roles of the process before this one are taken along with the registration.
-    for (const { role, home } of this.all()) {
+    const atHome = ({ home }: { home: Member | null }): number =>
+      Number(home?.node === this.self.node);
+    const roles = this.all().sort((a, b) => atHome(b) - atHome(a));
+    for (const { role, home } of roles) {
+      // What does not fit into the transaction is free for us as for all others right after it.
+      if (changes.length >= this.txnOps) break;
       const held = this.view.get<RoleRecord>(roleKey(role));
       const ours = held?.value.owner === this.self.node;
       if (ours ? held.value.incarnation === this.incarnation : home?.node !== this.self.node) {
@@ -176,7 +189,9 @@
       changes.push({ key: roleKey(role), value: this.claimRecord(held?.value ?? null) });
     }
     const result = await this.committer.commit('role', guards, changes, () => true);
+    if (result.kind === 'invalid') this.pauses.add(REGISTRATION);
     if (result.kind !== 'done') return;
+    this.pauses.clear(REGISTRATION);
     this.lease = lease;
     this.renewedAt = now;
     this.log.info({ roles: guards.map((guard) => guard.key) }, 'registered as a member');
@@ -201,6 +216,7 @@
         this.freeSince.delete(role);
         continue;
       }
+      if (this.pauses.has(role)) continue;
       const alive = owner !== null && this.isLive(owner.owner, owner.incarnation);
       const atHome = home?.node === this.self.node;
       if (alive && !(atHome && now - this.startedAt > HOME_SETTLE_MS)) {
@@ -225,6 +241,8 @@
         [{ key, value: record }],
         () => true,
       );
+      if (result.kind === 'invalid') this.pauses.add(role);
+      else this.pauses.clear(role);
       this.log.info(
         { role, from: owner?.owner ?? null, term: record.term, result: result.kind },
         'taking a role',
--- a/src/protocol/state-api.ts
+++ b/src/protocol/state-api.ts
@@ -20,12 +20,18 @@
 
 /** The state service did not carry the request out. */
 export class Refused extends Error {
-  constructor(readonly status: number) {
-    super(`state service answered ${status}`);
+  constructor(
+    readonly status: number,
+    readonly reason: string | null = null,
+  ) {
+    super(`state service answered ${status}${reason === null ? '' : ` (${reason})`}`);
     this.name = 'Refused';
   }
 }
 
+/** The reason of the one 400 that a valid transaction may get: its lease has ended. */
+export const NO_SUCH_LEASE = 'no such lease';
+
 /** What the rest of the program needs of the state service; tests put a stand-in here. */
 export interface StateApi {
   get(key: string): Promise<{ value: unknown; mark: number } | null>;
@@ -61,7 +67,10 @@
     const answer = await client.call(method, path, body, timeoutMs);
     if (answer.status === 429 || answer.status === 503) throw new Refused(answer.status);
     if (!expected.includes(answer.status)) {
-      if (answer.status === 400) throw new Refused(400);
+      if (answer.status === 400) {
+        const reason = (answer.body as Body)?.['error'];
+        throw new Refused(400, typeof reason === 'string' ? reason : null);
+      }
       throw new NoAnswer(`${method} ${path}: odd status ${answer.status}`);
     }
     const parsed = (answer.body as Body) ?? {};
--- /dev/null
+++ b/test/invalid.test.ts
@@ -0,0 +1,175 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Committer } from '../src/bookkeeping/committer.js';
+import { Gate } from '../src/bookkeeping/gate.js';
+import { jobKey } from '../src/bookkeeping/keys.js';
+import type { Log } from '../src/bookkeeping/log.js';
+import { Pauses } from '../src/bookkeeping/pauses.js';
+import { View } from '../src/bookkeeping/view.js';
+import { Front } from '../src/coordination/front.js';
+import type { Change, Guard } from '../src/protocol/state-api.js';
+import { SimClock } from './world/clock.js';
+import { SimState } from './world/state.js';
+import { TEAMS, TYPES, silent } from './world/world.js';
+
+async function bare() {
+  const clock = new SimClock();
+  const state = new SimState(clock);
+  state.change([{ key: 'mb/live/catalog', value: TYPES }]);
+  const errors: Record<string, unknown>[] = [];
+  const log: Log = { ...silent, error: (fields) => void errors.push(fields as never) };
+  const api = state.api('p');
+  const gate = new Gate(clock, 1000, 1000, 8);
+  const view = new View(api, gate, clock, log, () => 0.5);
+  void view.follow();
+  await clock.run(500);
+  const committer = new Committer(api, gate, view, clock, log, () => 0.5);
+  return { clock, state, errors, log, api, gate, view, committer };
+}
+
+// A 400 taken for a conflict was tried again for ever, unchanged.
+test('an invalid transaction is told once and not tried again; an ended lease is a conflict', async () => {
+  const put = (key: string, bytes = 10): Change => ({ key, value: 'x'.repeat(bytes) });
+  const many = <T>(count: number, make: (at: number) => T): T[] =>
+    Array.from({ length: count }, (_, at) => make(at));
+  const guard = (at: number): Guard => ({ key: `mb/live/g${at}`, mark: 0 });
+  const cases: [string, Guard[], Change[], 'done' | 'invalid' | 'conflict'][] = [
+    ['small', [guard(0)], [put('mb/live/a')], 'done'],
+    ['a value too large', [], [put('mb/live/b', 9000)], 'invalid'],
+    ['too many changes', [], many(9, (at) => put(`mb/live/c${at}`)), 'invalid'],
+    ['too many guards', many(33, guard), [put('mb/live/d')], 'invalid'],
+    ['too much at once', [], many(8, (at) => put(`mb/live/e${at}`, 8190)), 'invalid'],
+    ['an ended lease', [], [{ key: 'mb/live/f', value: 1, lease: 99 }], 'conflict'],
+  ];
+  for (const [name, guards, changes, expected] of cases) {
+    const { clock, state, errors, committer } = await bare();
+    let tries = 0;
+    const commit = committer.commit('part', guards, changes, () => ++tries < 5);
+    await clock.run(5000);
+    const result = await commit;
+    assert.equal(result.kind, expected, name);
+    assert.equal(tries, 1, name);
+    assert.equal(errors.length, expected === 'invalid' ? 1 : 0, name);
+    if (expected !== 'invalid') continue;
+    assert.deepEqual(state.invalid.length, 1, name);
+    assert.equal(errors[0]?.['purpose'], 'part', name);
+    assert.deepEqual(
+      errors[0]?.['keys'],
+      changes.map((one) => one.key),
+      name,
+    );
+    const largest = Math.max(
+      ...changes.map((one) => JSON.stringify('value' in one ? one.value : '').length),
+    );
+    assert.equal(errors[0]?.['largestValueBytes'], largest, name);
+    assert.ok(Number(errors[0]?.['transactionBytes']) > largest, name);
+  }
+});
+
+test('what was in an invalid transaction pauses longer each time, and then goes alone', async () => {
+  const clock = new SimClock();
+  const pauses = new Pauses(clock);
+  assert.equal(pauses.together(['a', 'b', 'c'], 2), 2);
+  pauses.add('b');
+  assert.ok(pauses.has('b') && !pauses.has('a'));
+  await clock.run(2100);
+  assert.ok(!pauses.has('b'));
+  assert.equal(pauses.together(['a', 'b', 'c'], 3), 1);
+  assert.equal(pauses.together(['b', 'c'], 3), 1);
+  pauses.add('b');
+  await clock.run(clock.now() + 2100);
+  assert.ok(pauses.has('b'), 'twice as long');
+  pauses.clear('b');
+  assert.equal(pauses.together(['a', 'b', 'c'], 3), 3);
+});
+
+/** Machine types that the job allows, beside one that there is, of about so many bytes. */
+const breeds = (bytes: number): string[] => [
+  'small',
+  ...Array.from({ length: Math.floor(bytes / 103) }, () => '界'.repeat(33) + 'x'),
+];
+
+const submission = (id: number, bytes: number): string =>
+  JSON.stringify({
+    ref: `j-${String(id).padStart(6, '0')}`,
+    lane: 'work',
+    crew: 'red',
+    shape: 'sweep',
+    rank: 'normal',
+    larvae: 2,
+    cores: 1,
+    gpus: 0,
+    memGb: 1,
+    cocoon: 'img',
+    imageGb: 1,
+    breeds: breeds(bytes),
+    grove: null,
+    samePlace: false,
+    apart: false,
+    windfall: true,
+    guessS: 10,
+    moltS: 0,
+    spinS: 0,
+    duskS: null,
+  });
+
+test('submissions that fit no value get 422, and take none of the others down', async () => {
+  // Bytes that the node takes a value for, and those that the state service takes.
+  for (const [believed, real] of [
+    [2048, 2048],
+    [8192, 2048],
+  ] as const) {
+    const { clock, state, log, api, gate, view, committer } = await bare();
+    state.valueBytes = real;
+    const front = new Front(
+      TEAMS,
+      8,
+      view,
+      api,
+      gate,
+      committer,
+      clock,
+      log,
+      () => undefined,
+      100,
+      believed,
+    );
+    const bodies = [submission(1, 0), submission(2, 2000), submission(3, 0), submission(4, 1000)];
+    const replies = bodies.map((body) => front.submit(body));
+    await clock.run(clock.now() + 4000);
+    const found = await Promise.all(replies);
+    assert.deepEqual(
+      found.map((one) => one.status),
+      [201, 422, 201, 201],
+    );
+    assert.deepEqual(
+      [1, 2, 3, 4].map((id) => state.cells.has(jobKey(`j-00000${id}`))),
+      [true, false, true, true],
+    );
+  }
+});
+
+test('a batch of large submissions stays below what one transaction may hold', async () => {
+  const { clock, state, log, api, gate, view, committer } = await bare();
+  state.txnOps = 32;
+  const front = new Front(
+    TEAMS,
+    32,
+    view,
+    api,
+    gate,
+    committer,
+    clock,
+    log,
+    () => undefined,
+    100,
+    8192,
+  );
+  const replies = Array.from({ length: 16 }, (_, at) => front.submit(submission(at, 7000)));
+  await clock.run(clock.now() + 4000);
+  const found = await Promise.all(replies);
+  assert.ok(found.every((one) => one.status === 201));
+  assert.deepEqual(state.invalid, []);
+  const held = [...state.cells].filter(([key]) => key.startsWith('mb/live/job/'));
+  assert.ok(Buffer.byteLength(JSON.stringify(held)) > 64 * 1024, 'more than one would hold');
+});
--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -1,4 +1,5 @@
 import {
+  NO_SUCH_LEASE,
   Refused,
   type Change,
   type Entry,
@@ -33,6 +34,10 @@
   refusals = 0;
   /** Puts and deletes that one transaction may hold, and four times as many guards. */
   txnOps = 8;
+  /** Bytes that one value may take. */
+  valueBytes = 8192;
+  /** Transactions that were refused with 400, by their keys. */
+  readonly invalid: string[][] = [];
   /** The next transactions of these nodes are carried out this much later, unanswered. */
   readonly late = new Map<string, number>();
 
@@ -96,6 +101,16 @@
     return true;
   }
 
+  private valid(guards: Guard[], changes: Change[]): boolean {
+    const bytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+    return (
+      changes.length <= this.txnOps &&
+      guards.length <= 4 * this.txnOps &&
+      bytes({ guards, changes }) <= 64 * 1024 &&
+      changes.every((one) => 'remove' in one || bytes(one.value) <= this.valueBytes)
+    );
+  }
+
   /** The service as one node reaches it. */
   api(node: string): StateApi {
     const { clock } = this;
@@ -120,7 +135,14 @@
       },
       txn: async (guards, changes) => {
         await served(changes.length);
-        if (changes.length > this.txnOps || guards.length > 4 * this.txnOps) throw new Refused(400);
+        const gone = changes.some(
+          (one) => 'lease' in one && one.lease !== undefined && !this.leases.has(one.lease),
+        );
+        if (gone) throw new Refused(400, NO_SUCH_LEASE);
+        if (!this.valid(guards, changes)) {
+          this.invalid.push(changes.map((one) => one.key));
+          throw new Refused(400, 'too large');
+        }
         const delay = this.late.get(node);
         if (delay !== undefined && changes.length > 0) {
           this.late.delete(node);
