Records bounded by the state service's values: status, arms, catalogue, split chunks

Fixed counts and cut-off matrices suited one value limit only. Status shards are bounded by bytes; a machine is written into its new shard before it leaves the old one. What one value can't hold of an arm or of the catalogue goes to further keys that the version before passes over. A chunk stored larger is taken apart in the transaction that shrinks it, its tasks' states move along.

--- /dev/null
+++ b/src/bookkeeping/catalog.ts
@@ -0,0 +1,59 @@
+import { VALUE_SHARE } from '../constants.js';
+import type { Change } from '../protocol/state-api.js';
+import type { MachineType } from '../protocol/terms.js';
+import { bytesOf } from './committer.js';
+import { CATALOG, CATALOG_MORE } from './keys.js';
+import type { View } from './view.js';
+
+/** The last reading of each view, so that what asks for each machine costs no new list. */
+const readings = new WeakMap<View, { at: number; types: MachineType[] | null }>();
+
+/**
+ * All machine types, or null while they are not known. They are written first-record-last and may
+ * stand in two records for a moment: the first record's word counts.
+ */
+export function readCatalog(view: View): MachineType[] | null {
+  const known = readings.get(view);
+  if (known?.at === view.catalogChanges) return known.types;
+  const reading = { at: view.catalogChanges, types: readAnew(view) };
+  readings.set(view, reading);
+  return reading.types;
+}
+
+function readAnew(view: View): MachineType[] | null {
+  const first = view.get<MachineType[]>(CATALOG);
+  if (!first) return null;
+  const further = [...view.below<MachineType[]>(CATALOG_MORE)].sort(([a], [b]) => (a < b ? -1 : 1));
+  const types = new Map<string, MachineType>();
+  for (const list of [first.value, ...further.map(([, held]) => held.value)]) {
+    for (const type of list) if (!types.has(type.name)) types.set(type.name, type);
+  }
+  return [...types.values()];
+}
+
+/** What is to be changed so that these types are held, in records of so many bytes. */
+export function writeCatalog(view: View, types: MachineType[], valueBytes: number): Change[] {
+  const records: MachineType[][] = [[]];
+  let bytes = 2;
+  for (const type of types) {
+    const size = bytesOf(type) + 1;
+    if (bytes + size > valueBytes * VALUE_SHARE && bytes > 2) {
+      records.push([]);
+      bytes = 2;
+    }
+    records[records.length - 1]?.push(type);
+    bytes += size;
+  }
+  const wanted = new Map(
+    records.map((record, at) => [at === 0 ? CATALOG : `${CATALOG_MORE}${at}`, record]),
+  );
+  const changes: Change[] = [];
+  for (const [key, value] of [...wanted].reverse()) {
+    if (JSON.stringify(view.get(key)?.value) !== JSON.stringify(value))
+      changes.push({ key, value });
+  }
+  for (const [key] of view.below(CATALOG_MORE)) {
+    if (!wanted.has(key)) changes.push({ key, remove: true });
+  }
+  return changes;
+}
--- a/src/bookkeeping/keys.ts
+++ b/src/bookkeeping/keys.ts
@@ -11,6 +11,8 @@
 export const ROLES = 'mb/live/role/';
 export const ARMS = 'mb/live/arm/';
 export const CATALOG = 'mb/live/catalog';
+/** Machine types that the first record has no room for; the version before reads only that one. */
+export const CATALOG_MORE = 'mb/live/catalog/';
 export const FINALS = 'mb/final/';
 
 export const jobKey = (id: string): string => JOBS + id;
@@ -24,6 +26,12 @@
 export const statusKey = (part: string, shard: number): string => `${STATUSES}${part}/${shard}`;
 export const armKey = (part: string, type: string): string => `${ARMS}${part}/${type}`;
 
+/** A chunk taken from another one; the version before reads its number as a decimal, to sort by. */
+export const splitKey = (key: string, count: number): string => {
+  const dot = key.indexOf('.', key.lastIndexOf('/'));
+  return `${dot < 0 ? key : key.slice(0, dot)}.${count}`;
+};
+
 export function readChunkKey(key: string): { part: string; job: string; number: number } | null {
   const parts = key.slice(CHUNKS.length).split('/');
   if (parts.length !== 3) return null;
--- a/src/bookkeeping/pauses.ts
+++ b/src/bookkeeping/pauses.ts
@@ -16,6 +16,11 @@
     this.held.set(about, { count: count + 1, until: this.clock.now() + pause });
   }
 
+  /** Leaves it alone for so long, without any blame. */
+  hold(about: string, ms: number): void {
+    this.held.set(about, { count: 0, until: this.clock.now() + ms });
+  }
+
   /** Told that it was carried out, or is no longer there. */
   clear(about: string): void {
     this.held.delete(about);
--- a/src/bookkeeping/view.ts
+++ b/src/bookkeeping/view.ts
@@ -9,7 +9,7 @@
 import { Refused, type StateApi } from '../protocol/state-api.js';
 import { Backoff } from '../transport/backoff.js';
 import { sleep, type Clock } from '../transport/clock.js';
-import { CHUNKS, FINALS, JOBS, LIVE, MACHINES, ROOT, readChunkKey } from './keys.js';
+import { CATALOG, CHUNKS, FINALS, JOBS, LIVE, MACHINES, ROOT, readChunkKey } from './keys.js';
 import type { Gate } from './gate.js';
 import type { Log } from './log.js';
 import {
@@ -76,6 +76,8 @@
   freshAt = -Infinity;
   loaded = false;
   private wholeFrom = 0;
+  /** How often the machine types changed: what was made of them holds until then. */
+  catalogChanges = 0;
 
   constructor(
     private readonly api: StateApi,
@@ -203,6 +205,7 @@
       if (value === undefined) this.machines.delete(key.slice(MACHINES.length));
       else this.machines.set(key.slice(MACHINES.length), value as MachineRecord);
     }
+    if (key.startsWith(CATALOG)) this.catalogChanges++;
     if (key.startsWith(CHUNKS)) this.applyChunk(key, value as ChunkRecord | undefined);
     return true;
   }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -132,6 +132,12 @@
 export const CHUNK_BYTES = 600;
 /** Bytes that a submission takes in a transaction beside its job's record: its keys, twice. */
 export const SUBMIT_BYTES = 400;
+/** Share of a value's limit that is filled when records are cut to it: the state service may count
+ * other spaces, escapes or digits than we do. */
+export const VALUE_SHARE = 0.95;
+/** ms; a chunk whose parts don't fit into one transaction is looked at again after this: until then
+ * some of its tasks have ended, and it is not looked at in each round. */
+export const CHUNK_HOLD_MS = 1_000;
 /** Submissions waiting for their commit in one node; more are told to come back. */
 export const SUBMIT_QUEUE = 256;
 /** Polls and checks waiting in one node; more are told to come back. */
@@ -214,8 +220,6 @@
 export const BEGIN_SHARE = 0.05;
 /** Report intervals without a report after which a machine takes no new tasks. */
 export const SILENT_REPORTS = 3;
-/** Machines in one status record: keeps it far below the smallest value limit. */
-export const STATUS_SHARD = 80;
 /** ms; an offer that the cloud could not fill is asked for again after this. */
 export const NO_CAPACITY_PAUSE_MS = 15_000;
 /** Boot times after which a machine that never reported is returned: some take several. */
--- a/src/coordination/bandit.ts
+++ b/src/coordination/bandit.ts
@@ -1,4 +1,5 @@
 import { Matrix, inverse } from 'ml-matrix';
+import { bytesOf } from '../bookkeeping/committer.js';
 import { CLASS_CAP } from '../constants.js';
 
 /** What one arm has learned: A and b of ridge regression, with A's inverse kept beside it. */
@@ -8,14 +9,32 @@
   b: Matrix;
 }
 
-/** An arm as it is kept in the state service: A's lower triangle without zeros, and b. */
+type Cells = [row: number, column: number, value: number][];
+type Sums = [row: number, value: number][];
+
+/**
+ * An arm as it is kept in the state service: A's lower triangle without zeros, and b. What one value
+ * can't hold is in further records, whose fields here are empty: the version before reads those too
+ * and passes over what has other types than its own. The main record alone is a valid arm.
+ */
 export interface ArmRecord {
   classes: string[];
   types: string[];
-  a: [row: number, column: number, value: number][];
-  b: [row: number, value: number][];
+  a: Cells;
+  b: Sums;
+  /** Ties the records of one snapshot together; none: this record is all. */
+  stamp?: number;
+  /** In the main record: how many further ones there are. */
+  further?: number;
+  /** In further records: what is to be added to the main one. */
+  moreClasses?: string[];
+  moreA?: Cells;
+  moreB?: Sums;
 }
 
+/** Stands for the number of further records while it is not known: the widest there may be. */
+const FURTHER_MOST = 9999;
+
 const round = (value: number): number => Number(value.toPrecision(5));
 
 /**
@@ -101,10 +120,13 @@
     arm.inverted.sub(half.mmul(half.transpose()).div(1 + x.dot(half)));
   }
 
-  /** Capped: what does not fit into so many bytes of JSON is left out, off the diagonal first. */
-  record(type: string, maxBytes: number): ArmRecord | null {
+  /**
+   * An arm in records of so many bytes of JSON each, the main one first; none: nothing was learned,
+   * or not even A's diagonal fits.
+   */
+  records(type: string, maxBytes: number, stamp: number): ArmRecord[] {
     const arm = this.arms.get(type);
-    if (!arm) return null;
+    if (!arm) return [];
     const record: ArmRecord = { classes: [...this.classes], types: [...this.types], a: [], b: [] };
     for (let row = 0; row < this.size; row++) {
       for (let column = 0; column <= row; column++) {
@@ -114,14 +136,47 @@
       const value = arm.b.get(row, 0);
       if (value !== 0) record.b.push([row, round(value)]);
     }
-    if (JSON.stringify(record).length > maxBytes) {
-      record.a = record.a.filter(([row, column]) => row === column);
+    if (bytesOf(record) <= maxBytes) return [record];
+    const main = this.mainOf(record, maxBytes, stamp);
+    if (!main) return [];
+    const known = main.classes.length;
+    const later = (row: number): boolean => row >= known && row < this.classes.length;
+    const rest = {
+      moreClasses: record.classes.slice(known),
+      moreA: record.a.filter(([row, column]) => row !== column || later(row)),
+      moreB: record.b.filter(([row]) => later(row)),
+    };
+    const further = furtherOf(rest, maxBytes, stamp);
+    return [{ ...main, further: further.length }, ...further];
+  }
+
+  /** Diagonal and b, of as many classes as fit; for the others the diagonal of a new arm. */
+  private mainOf(record: ArmRecord, maxBytes: number, stamp: number): ArmRecord | null {
+    for (let known = record.classes.length; known >= 0; known--) {
+      const later = (row: number): boolean => row >= known && row < record.classes.length;
+      const main: ArmRecord = {
+        classes: record.classes.slice(0, known),
+        types: record.types,
+        a: record.a
+          .filter(([row, column]) => row === column)
+          .map(([row, column, value]) => [row, column, later(row) ? 1 : value]),
+        b: record.b.filter(([row]) => !later(row)),
+        stamp,
+        further: FURTHER_MOST,
+      };
+      if (bytesOf(main) <= maxBytes) return main;
     }
-    return JSON.stringify(record).length > maxBytes ? null : record;
+    return null;
   }
 
-  restore(type: string, record: ArmRecord): void {
-    if (record.types.join() !== this.types.join()) return;
+  /** `further`: the record with this number beside the main one. */
+  restore(
+    type: string,
+    main: ArmRecord,
+    further: (at: number) => ArmRecord | undefined = () => undefined,
+  ): void {
+    if (main.types.join() !== this.types.join()) return;
+    const record = whole(main, further);
     // Arms are written at different times: one may know more classes than another.
     const both = Math.min(this.classes.length, record.classes.length);
     if (this.classes.slice(0, both).join() !== record.classes.slice(0, both).join()) return;
@@ -136,3 +191,52 @@
     this.arms.set(type, { a, inverted: inverse(a), b });
   }
 }
+
+/** Cuts what is left of an arm into records of so many bytes. */
+function furtherOf(
+  rest: { moreClasses: string[]; moreA: Cells; moreB: Sums },
+  maxBytes: number,
+  stamp: number,
+): ArmRecord[] {
+  const empty = (): ArmRecord & Required<Pick<ArmRecord, keyof typeof rest>> => ({
+    classes: [],
+    types: [],
+    a: [],
+    b: [],
+    stamp,
+    moreClasses: [],
+    moreA: [],
+    moreB: [],
+  });
+  const records = [empty()];
+  let bytes = bytesOf(empty());
+  const room = (item: unknown): ReturnType<typeof empty> => {
+    const size = bytesOf(item) + 1;
+    let record = records[records.length - 1] ?? empty();
+    if (bytes + size > maxBytes) {
+      records.push((record = empty()));
+      bytes = bytesOf(record);
+    }
+    bytes += size;
+    return record;
+  };
+  for (const one of rest.moreClasses) room(one).moreClasses.push(one);
+  for (const one of rest.moreB) room(one).moreB.push(one);
+  for (const one of rest.moreA) room(one).moreA.push(one);
+  return records;
+}
+
+/** All records of one snapshot together; the main one alone where another is missing or newer. */
+function whole(main: ArmRecord, further: (at: number) => ArmRecord | undefined): ArmRecord {
+  if (main.stamp === undefined || main.further === undefined) return main;
+  const record = { ...main, classes: [...main.classes], a: [...main.a], b: [...main.b] };
+  for (let at = 1; at <= main.further; at++) {
+    const more = further(at);
+    if (more?.stamp !== main.stamp) return main;
+    record.classes.push(...(more.moreClasses ?? []));
+    // Later cells take the place of earlier ones: those that the main record had of a new arm.
+    record.a.push(...(more.moreA ?? []));
+    record.b.push(...(more.moreB ?? []));
+  }
+  return record;
+}
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -19,8 +19,10 @@
   SILENT_SETTLE_MS,
   STUCK_BOOTS,
   STUCK_LEAST_MS,
+  TXN_BYTES,
 } from '../constants.js';
 import type { Committer } from '../bookkeeping/committer.js';
+import { readCatalog, writeCatalog } from '../bookkeeping/catalog.js';
 import { CATALOG, MACHINES, machineKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { MachineRecord, MachineState } from '../bookkeeping/records.js';
@@ -39,6 +41,7 @@
   roleKey: string;
   roleMark: number;
   txnOps: number;
+  valueBytes: number;
   cloudRps: number;
   listLagS: number;
   leaseS: number;
@@ -118,7 +121,7 @@
   }
 
   private types(): MachineType[] {
-    return this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+    return readCatalog(this.view) ?? [];
   }
 
   private mayCall(): boolean {
@@ -133,20 +136,21 @@
     const types = await this.cloud.types();
     if (!types) return;
     this.catalogAt = now;
-    const held = this.view.get<MachineType[]>(CATALOG);
-    if (JSON.stringify(held?.value) === JSON.stringify(types) || this.pauses.has(CATALOG)) return;
-    const guards = [
-      { key: this.options.roleKey, mark: this.options.roleMark },
-      { key: CATALOG, mark: held?.mark ?? 0 },
-    ];
-    const result = await this.committer.commit(
-      'leader',
-      guards,
-      [{ key: CATALOG, value: types }],
-      this.options.alive,
+    if (this.pauses.has(CATALOG)) return;
+    const changes = writeCatalog(this.view, types, this.options.valueBytes);
+    const perTxn = Math.min(
+      this.options.txnOps,
+      Math.max(1, Math.floor(TXN_BYTES / this.options.valueBytes)),
     );
-    if (result.kind === 'invalid') this.pauses.add(CATALOG);
-    else this.pauses.clear(CATALOG);
+    for (let at = 0; at < changes.length; at += perTxn) {
+      const group = changes.slice(at, at + perTxn);
+      const guards = [{ key: this.options.roleKey, mark: this.options.roleMark }];
+      for (const { key } of group) guards.push({ key, mark: this.view.markOf(key) });
+      const result = await this.committer.commit('leader', guards, group, this.options.alive);
+      if (result.kind === 'invalid') this.pauses.add(CATALOG);
+      else this.pauses.clear(CATALOG);
+      if (result.kind !== 'done') return;
+    }
   }
 
   /** Writes the leader's word on machines; false: not written. */
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -12,7 +12,8 @@
 } from '../constants.js';
 import { bytesOf, type Committer } from '../bookkeeping/committer.js';
 import type { Gate } from '../bookkeeping/gate.js';
-import { CATALOG, finalKey, jobKey } from '../bookkeeping/keys.js';
+import { readCatalog } from '../bookkeeping/catalog.js';
+import { finalKey, jobKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { FinalRecord, JobRecord } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
@@ -143,7 +144,7 @@
     if (known === 'unsure') return later(503, 'state service does not answer');
     if (known) return { status: 200, body: encodeJobState(id, known.state) };
     const parsed = parseSubmission(json.value);
-    const types = this.view.get<MachineType[]>(CATALOG)?.value ?? null;
+    const types = readCatalog(this.view);
     let reason = parsed.ok ? neverRuns(parsed.value, this.teams, types) : parsed.error;
     // Accepted it could never be written, and its user would be told to come back for ever.
     if (parsed.ok && reason === null && this.recordBytes(parsed.value) > this.valueBytes) {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -8,16 +8,9 @@
   QUEUE_S,
   URGENT_RESERVE,
 } from '../constants.js';
+import { readCatalog } from '../bookkeeping/catalog.js';
 import type { Committer } from '../bookkeeping/committer.js';
-import {
-  CATALOG,
-  JOBS,
-  MACHINES,
-  STATUSES,
-  chunkKey,
-  finalKey,
-  jobKey,
-} from '../bookkeeping/keys.js';
+import { JOBS, MACHINES, STATUSES, chunkKey, finalKey, jobKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import { Pauses } from '../bookkeeping/pauses.js';
 import { writeRanges } from '../bookkeeping/ranges.js';
@@ -31,7 +24,7 @@
 } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
 import type { Change, Guard } from '../protocol/state-api.js';
-import { rankOf, type JobSpec, type MachineType } from '../protocol/terms.js';
+import { rankOf, type JobSpec } from '../protocol/terms.js';
 import type { Team } from '../protocol/settings.js';
 import type { Clock } from '../transport/clock.js';
 import { Arrivals, Ledger, URGENT, placeOf, type Usage } from './ledger.js';
@@ -218,9 +211,7 @@
   // --- Assigning -----------------------------------------------------------------------------
 
   private machines(): Map<string, Slotted> {
-    const types = new Map(
-      (this.view.get<MachineType[]>(CATALOG)?.value ?? []).map((type) => [type.name, type]),
-    );
+    const types = new Map((readCatalog(this.view) ?? []).map((type) => [type.name, type]));
     const machines = new Map<string, Slotted>();
     const add = (
       name: string,
--- a/src/coordination/machines.ts
+++ b/src/coordination/machines.ts
@@ -5,7 +5,7 @@
   SILENT_REPORTS,
   TOKEN_STEP,
 } from '../constants.js';
-import { CATALOG } from '../bookkeeping/keys.js';
+import { readCatalog } from '../bookkeeping/catalog.js';
 import type { MachineHealth, MachineRecord } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
 import type { MachineType, TaskReport, WorkerReport } from '../protocol/terms.js';
@@ -58,6 +58,8 @@
   errors: Set<string>;
 }
 
+const NO_TYPES: MachineType[] = [];
+
 export interface Room {
   cpus: number;
   gpus: number;
@@ -275,7 +277,7 @@
   }
 
   type(name: string): MachineType | undefined {
-    const value = this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+    const value = readCatalog(this.view) ?? NO_TYPES;
     if (this.catalog?.value !== value) {
       this.catalog = { value, byName: new Map(value.map((type) => [type.name, type])) };
     }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -395,6 +395,7 @@
       this.fleet = new Fleet(
         {
           ...common,
+          valueBytes: settings.valueBytes,
           cloudRps: settings.cloudRps,
           listLagS: settings.listLagS,
           leaseS: settings.leaseS,
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -1,6 +1,7 @@
 import {
   BEGIN_WITHIN_S,
   CHUNK_BYTES,
+  CHUNK_HOLD_MS,
   CHUNK_TASK_BYTES,
   COMMANDS_MAX,
   DONE_GATHER_MS,
@@ -10,26 +11,18 @@
   PLACE_GATHER_MS,
   QUEUE_RELEASE_MS,
   RELEASE_MS,
-  STATUS_PACE_MS,
-  STATUS_SHARD,
   SWEEP_MS,
   TOKEN_STEP,
   TXN_BYTES,
+  VALUE_SHARE,
   YIELD_MS,
 } from '../constants.js';
+import { readCatalog } from '../bookkeeping/catalog.js';
 import type { Committer } from '../bookkeeping/committer.js';
-import {
-  ARMS,
-  CATALOG,
-  JOBS,
-  STATUSES,
-  armKey,
-  machineKey,
-  statusKey,
-} from '../bookkeeping/keys.js';
+import { ARMS, JOBS, machineKey } from '../bookkeeping/keys.js';
 import type { Gate } from '../bookkeeping/gate.js';
 import type { Log } from '../bookkeeping/log.js';
-import type { ChunkRecord, StatusRecord } from '../bookkeeping/records.js';
+import type { ChunkRecord } from '../bookkeeping/records.js';
 import { Pauses } from '../bookkeeping/pauses.js';
 import type { View } from '../bookkeeping/view.js';
 import type { Change, Guard } from '../protocol/state-api.js';
@@ -46,7 +39,8 @@
 import type { ArmRecord, Bandit } from './bandit.js';
 import { Machines, fits, take, type Direct, type Machine, type Room } from './machines.js';
 import { Placing } from './placing.js';
-import { Tasks, type Chunk, type Slot } from './tasks.js';
+import { Status } from './status.js';
+import { Tasks, type Chunk, type Piece, type Slot } from './tasks.js';
 
 export interface PartOptions {
   part: string;
@@ -80,6 +74,7 @@
 interface Written {
   chunk: Chunk;
   record: ChunkRecord | null;
+  pieces: Piece[];
 }
 
 /**
@@ -99,10 +94,8 @@
   private readonly stirred = new Set<string>();
   /** Chunks of jobs that are over. */
   private readonly ended = new Set<Chunk>();
-  private readonly statusSent = new Map<string, string>();
-  private statusAt = -Infinity;
   private sweptAt = -Infinity;
-  private snapshotAt: number;
+  private readonly status: Status;
   private busy = false;
 
   constructor(
@@ -118,25 +111,7 @@
     this.machines = new Machines(options, view, clock);
     this.tasks = new Tasks(options.part, view, clock);
     for (const chunk of this.tasks.chunks.values()) this.noteEnd(chunk);
-    this.snapshotAt = clock.now() + options.snapshotMs;
-    this.inherit();
-  }
-
-  /**
-   * The machines that the owner before us knew are ours from the start, heard of or not. Without
-   * this the first status of a new owner is empty, and the leader takes a part's whole fleet for
-   * machines that never came up, and returns it.
-   */
-  private inherit(): void {
-    const prefix = `${STATUSES}${this.options.part}/`;
-    for (const [key, held] of this.view.below<StatusRecord>(prefix)) {
-      this.statusSent.set(key, JSON.stringify(held.value.machines));
-      for (const [name, [type, zone, spot, health]] of Object.entries(held.value.machines)) {
-        const machine = this.machines.add(name, type, zone, spot === 1);
-        machine.leaving = health === 'leaving';
-        machine.answeredAt = -Infinity;
-      }
-    }
+    this.status = new Status(options, view, committer, this.machines, clock);
   }
 
   // --- What the state service holds ----------------------------------------------------------
@@ -414,8 +389,8 @@
       this.release();
       await this.flush();
       this.sendDirect();
-      await this.writeStatus();
-      await this.snapshot();
+      const types = this.types().map((type) => type.name);
+      await this.status.round(this.bandit, types);
     } finally {
       this.busy = false;
     }
@@ -426,7 +401,7 @@
   }
 
   private types(): MachineType[] {
-    return this.view.get<MachineType[]>(CATALOG)?.value ?? [];
+    return readCatalog(this.view) ?? [];
   }
 
   private async loadPlacing(): Promise<Placing | null> {
@@ -436,7 +411,8 @@
     const { Bandit: Learner } = await import('./bandit.js');
     const bandit = new Learner(types, this.options.alpha, this.options.penalty);
     for (const [key, held] of this.view.below<ArmRecord>(`${ARMS}${this.options.part}/`)) {
-      bandit.restore(key.slice(key.lastIndexOf('/') + 1), held.value);
+      const further = (at: number) => this.view.get<ArmRecord>(`${key}+${at}`)?.value;
+      bandit.restore(key.slice(key.lastIndexOf('/') + 1), held.value, further);
     }
     this.bandit = bandit;
     this.placing = new Placing(
@@ -582,19 +558,39 @@
         const room = this.options.txnOps * (GUARDS_PER_OP - 1) - 1;
         if (all.size > room && changes.length > 0) break;
         const some = new Set([...fresh].slice(0, room));
-        const record = this.over(chunk) ? null : this.tasks.write(chunk, some);
+        const fill = this.options.valueBytes * VALUE_SHARE;
+        const pieces = this.over(chunk) ? [] : this.tasks.pieces(chunk, some, fill);
+        // All in one transaction, or a task would be in two chunks or in none for a while.
+        if (changes.length + Math.max(1, pieces.length) > this.options.txnOps) {
+          if (changes.length > 0) break;
+          this.log.info(
+            { chunk: chunk.key, pieces: pieces.length },
+            'chunk too large to write yet',
+          );
+          this.withheld.hold(chunk.key, CHUNK_HOLD_MS);
+          continue;
+        }
         for (const machine of some) machines.add(machine);
-        guards.push({ key: chunk.key, mark: this.view.markOf(chunk.key) });
-        changes.push(record ? { key: chunk.key, value: record } : { key: chunk.key, remove: true });
-        written.push({ chunk, record });
+        if (pieces.length === 0) {
+          guards.push({ key: chunk.key, mark: this.view.markOf(chunk.key) });
+          changes.push({ key: chunk.key, remove: true });
+        }
+        for (const { key, record } of pieces) {
+          guards.push({ key, mark: this.view.markOf(key) });
+          changes.push({ key, value: record });
+        }
+        this.tasks.plan(chunk, pieces);
+        written.push({ chunk, record: pieces[0]?.record ?? null, pieces });
         if (some.size === fresh.size) this.tasks.clean(chunk);
       }
+      if (changes.length === 0) continue;
       for (const machine of machines) {
         const key = machineKey(machine);
         guards.push({ key, mark: this.view.markOf(key) });
       }
       const purpose = urgent ? 'urgent' : 'part';
       const result = await this.committer.commit(purpose, guards, changes, this.options.alive);
+      for (const { pieces } of written) this.tasks.unplan(pieces);
       if (!this.options.alive()) return;
       if (result.kind !== 'done') {
         // Nothing of this was written, or another's word is newer: what is stored counts again.
@@ -623,54 +619,4 @@
     this.ended.delete(chunk);
     if (this.tasks.drop(chunk)) this.failures.delete(chunk.job);
   }
-
-  private async writeStatus(): Promise<void> {
-    const now = this.clock.now();
-    const pace = STATUS_PACE_MS[this.options.gate.supply];
-    if (now - this.statusAt < pace) return;
-    this.statusAt = now;
-    const names = [...this.machines.all.keys()].sort();
-    const shards = Math.max(1, Math.ceil(names.length / STATUS_SHARD));
-    for (let shard = 0; shard < Math.max(shards, this.statusSent.size); shard++) {
-      const machines: StatusRecord['machines'] = {};
-      for (const name of names.slice(shard * STATUS_SHARD, (shard + 1) * STATUS_SHARD)) {
-        const machine = this.machines.all.get(name);
-        if (!machine) continue;
-        const health = this.machines.health(machine);
-        machines[name] = [machine.type, machine.zone, machine.spot ? 1 : 0, health];
-      }
-      const key = statusKey(this.options.part, shard);
-      const text = JSON.stringify(machines);
-      if (this.statusSent.get(key) === text) continue;
-      const value: StatusRecord = { machines };
-      const guards = [
-        { key: this.options.roleKey, mark: this.options.roleMark },
-        { key, mark: this.view.markOf(key) },
-      ];
-      const result = await this.committer.commit(
-        'status',
-        guards,
-        [{ key, value }],
-        this.options.alive,
-      );
-      if (result.kind !== 'done') return;
-      this.statusSent.set(key, text);
-    }
-  }
-
-  private async snapshot(): Promise<void> {
-    const now = this.clock.now();
-    if (now < this.snapshotAt || !this.bandit) return;
-    this.snapshotAt = now + this.options.snapshotMs;
-    for (const type of this.types()) {
-      const record = this.bandit.record(type.name, this.options.valueBytes);
-      const key = armKey(this.options.part, type.name);
-      if (!record || JSON.stringify(this.view.get(key)?.value) === JSON.stringify(record)) continue;
-      const guards = [
-        { key: this.options.roleKey, mark: this.options.roleMark },
-        { key, mark: this.view.markOf(key) },
-      ];
-      await this.committer.commit('part', guards, [{ key, value: record }], this.options.alive);
-    }
-  }
 }
--- /dev/null
+++ b/src/coordination/status.ts
@@ -0,0 +1,224 @@
+import { STATUS_PACE_MS, TXN_BYTES, VALUE_SHARE } from '../constants.js';
+import { bytesOf, type Committer } from '../bookkeeping/committer.js';
+import type { Gate } from '../bookkeeping/gate.js';
+import { STATUSES, armKey, statusKey } from '../bookkeeping/keys.js';
+import { Pauses } from '../bookkeeping/pauses.js';
+import type { MachineHealth, StatusRecord } from '../bookkeeping/records.js';
+import type { View } from '../bookkeeping/view.js';
+import type { Change, Guard } from '../protocol/state-api.js';
+import type { Clock } from '../transport/clock.js';
+import type { ArmRecord, Bandit } from './bandit.js';
+import type { Machines } from './machines.js';
+
+export interface StatusOptions {
+  part: string;
+  roleKey: string;
+  roleMark: number;
+  txnOps: number;
+  valueBytes: number;
+  snapshotMs: number;
+  alive: () => boolean;
+  gate: Pick<Gate, 'supply'>;
+}
+
+type Entry = StatusRecord['machines'][string];
+
+/** The longest word on a machine: what it may grow to must not make it change its shard. */
+const LONGEST: MachineHealth = 'leaving';
+
+/** Bytes that a machine takes in a status record at the most, with its comma. */
+function sizeOf(name: string, [type, zone, spot]: Entry): number {
+  return bytesOf({ [name]: [type, zone, spot, LONGEST] });
+}
+
+/** One status record as it is to be: its machines, and the room that is left in it. */
+interface Shard {
+  names: Set<string>;
+  left: number;
+  /** It lost machines to others in this round, and takes none. */
+  losing: boolean;
+}
+
+/** What a part tells others beside its tasks: its machines' health, and what it has learned. */
+export class Status {
+  /** The records as the state service holds them, as far as is known, by shard. */
+  private readonly sent = new Map<number, StatusRecord['machines']>();
+  private statusAt = -Infinity;
+  private snapshotAt: number;
+  private readonly pauses: Pauses;
+
+  constructor(
+    private readonly options: StatusOptions,
+    private readonly view: View,
+    private readonly committer: Committer,
+    private readonly machines: Machines,
+    private readonly clock: Clock,
+  ) {
+    this.pauses = new Pauses(clock);
+    this.snapshotAt = clock.now() + options.snapshotMs;
+    this.inherit();
+  }
+
+  /**
+   * The machines that the owner before us knew are ours from the start, heard of or not. Without
+   * this the first status of a new owner is empty, and the leader takes a part's whole fleet for
+   * machines that never came up, and returns it.
+   */
+  private inherit(): void {
+    const prefix = `${STATUSES}${this.options.part}/`;
+    for (const [key, held] of this.view.below<StatusRecord>(prefix)) {
+      this.sent.set(Number(key.slice(prefix.length)), held.value.machines);
+      for (const [name, [type, zone, spot, health]] of Object.entries(held.value.machines)) {
+        const machine = this.machines.add(name, type, zone, spot === 1);
+        machine.leaving = health === 'leaving';
+        machine.answeredAt = -Infinity;
+      }
+    }
+  }
+
+  async round(bandit: Bandit | null, types: readonly string[]): Promise<void> {
+    await this.writeStatus();
+    await this.snapshot(bandit, types);
+  }
+
+  // --- Machines ------------------------------------------------------------------------------
+
+  /**
+   * Which shard each machine is to be in. It stays where it is while that record fits its value;
+   * what the version before wrote larger is taken apart here. The shards are numbered without gaps,
+   * since that version counts them to find those that it must empty.
+   */
+  private plan(entries: ReadonlyMap<string, Entry>): Shard[] {
+    const room = Math.floor(this.options.valueBytes * VALUE_SHARE) - bytesOf({ machines: {} });
+    const shards: Shard[] = [];
+    const open = (): Shard => {
+      const shard: Shard = { names: new Set(), left: room, losing: false };
+      shards.push(shard);
+      return shard;
+    };
+    const size = (name: string): number => {
+      const entry = entries.get(name);
+      return entry ? sizeOf(name, entry) : 0;
+    };
+    const put = (shard: Shard, name: string): void => {
+      shard.names.add(name);
+      shard.left -= size(name);
+    };
+    const movers = new Set<string>();
+    const placed = new Set<string>();
+    const last = Math.max(0, ...this.sent.keys());
+    for (let at = 0; at <= last; at++) {
+      const shard = open();
+      for (const name of Object.keys(this.sent.get(at) ?? {}).sort()) {
+        if (!entries.has(name) || placed.has(name)) continue;
+        if (size(name) > shard.left) {
+          shard.losing = true;
+          movers.add(name);
+          continue;
+        }
+        placed.add(name);
+        put(shard, name);
+      }
+    }
+    this.emptyLast(shards, room, movers, size);
+    for (const name of entries.keys()) if (!placed.has(name)) movers.add(name);
+    // By name and to the last shards first: names grow with time, and the version before orders
+    // its shards by name. So little moves when it takes the part, and nothing to a later shard.
+    for (const name of [...movers].sort()) {
+      const fits = (shard: Shard): boolean => !shard.losing && shard.left >= size(name);
+      put(shards.findLast(fits) ?? open(), name);
+    }
+    return shards;
+  }
+
+  /** The last shard in use goes into the others once they have plenty of room for it. */
+  private emptyLast(
+    shards: Shard[],
+    room: number,
+    movers: Set<string>,
+    size: (name: string) => number,
+  ): void {
+    const last = shards.findLast((shard) => shard.names.size > 0);
+    if (!last || last === shards[0] || shards.some((shard) => shard.losing)) return;
+    const others = shards.slice(0, shards.indexOf(last));
+    // Shards that are nearly full don't count: their rests may fit no machine.
+    const free = others.reduce((sum, { left }) => sum + (left < room / 4 ? 0 : left), 0);
+    if (free < room - last.left + room) return;
+    for (const name of last.names) movers.add(name);
+    for (const name of last.names) last.left += size(name);
+    last.names.clear();
+    last.losing = true;
+  }
+
+  private async writeStatus(): Promise<void> {
+    const now = this.clock.now();
+    if (now - this.statusAt < STATUS_PACE_MS[this.options.gate.supply]) return;
+    this.statusAt = now;
+    const entries = new Map<string, Entry>();
+    for (const machine of this.machines.all.values()) {
+      const health = this.machines.health(machine);
+      entries.set(machine.name, [machine.type, machine.zone, machine.spot ? 1 : 0, health]);
+    }
+    const shards = this.plan(entries);
+    const records = shards.map((shard): StatusRecord['machines'] => {
+      const machines: StatusRecord['machines'] = {};
+      for (const name of [...shard.names].sort()) {
+        const entry = entries.get(name);
+        if (entry) machines[name] = entry;
+      }
+      return machines;
+    });
+    const order = [...shards.keys()].filter((at) => !shards[at]?.losing);
+    order.push(...[...shards.keys()].filter((at) => shards[at]?.losing));
+    for (const at of order) {
+      const machines = records[at] ?? {};
+      const key = statusKey(this.options.part, at);
+      if (JSON.stringify(this.sent.get(at)) === JSON.stringify(machines)) continue;
+      // The shard that gains a machine is written before the one that loses it, and if it can't be,
+      // neither is: missing from all, a machine would be taken for one that never came up.
+      if (this.pauses.has(key)) return;
+      const value: StatusRecord = { machines };
+      if (!(await this.write('status', [{ key, value }]))) return;
+      this.sent.set(at, machines);
+    }
+  }
+
+  /** False: not written; what the state service calls invalid is left alone for a while. */
+  private async write(purpose: 'status' | 'part', changes: Change[]): Promise<boolean> {
+    const guards: Guard[] = [{ key: this.options.roleKey, mark: this.options.roleMark }];
+    for (const { key } of changes) guards.push({ key, mark: this.view.markOf(key) });
+    const { alive } = this.options;
+    const result = await this.committer.commit(purpose, guards, changes, alive);
+    for (const { key } of changes) {
+      if (result.kind === 'invalid') this.pauses.add(key);
+      else this.pauses.clear(key);
+    }
+    return result.kind === 'done';
+  }
+
+  // --- What was learned ----------------------------------------------------------------------
+
+  private async snapshot(bandit: Bandit | null, types: readonly string[]): Promise<void> {
+    const now = this.clock.now();
+    if (now < this.snapshotAt || !bandit) return;
+    this.snapshotAt = now + this.options.snapshotMs;
+    const most = Math.floor(this.options.valueBytes * VALUE_SHARE);
+    for (const type of types) {
+      const keyOf = (at: number): string =>
+        armKey(this.options.part, at === 0 ? type : `${type}+${at}`);
+      const held = this.view.get<ArmRecord>(keyOf(0))?.value;
+      const same = bandit.records(type, most, held?.stamp ?? 0);
+      const isHeld = (record: ArmRecord, at: number): boolean =>
+        JSON.stringify(this.view.get(keyOf(at))?.value) === JSON.stringify(record);
+      if (same.length === 0 || same.every(isHeld)) continue;
+      const records = bandit.records(type, most, (held?.stamp ?? 0) + 1);
+      if (records.some((_, at) => this.pauses.has(keyOf(at)))) continue;
+      // The main record last: the others count only with it.
+      const changes = records.map((value, at): Change => ({ key: keyOf(at), value })).reverse();
+      const perTxn = Math.max(1, Math.min(this.options.txnOps, Math.floor(TXN_BYTES / most)));
+      for (let at = 0; at < changes.length; at += perTxn) {
+        if (!(await this.write('part', changes.slice(at, at + perTxn)))) break;
+      }
+    }
+  }
+}
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -1,4 +1,5 @@
-import { chunkPrefix, readChunkKey } from '../bookkeeping/keys.js';
+import { bytesOf } from '../bookkeeping/committer.js';
+import { chunkPrefix, readChunkKey, splitKey } from '../bookkeeping/keys.js';
 import { readRanges, writeRanges } from '../bookkeeping/ranges.js';
 import type { ChunkRecord } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
@@ -37,6 +38,13 @@
   dirtySince: number | null;
 }
 
+/** A part of a chunk as it is to be written; the first one keeps the chunk's key. */
+export interface Piece {
+  key: string;
+  record: ChunkRecord;
+  slots: Slot[];
+}
+
 /**
  * The tasks assigned to one part. Indexed by machine, by job and by what is left to do, so that a
  * report costs what its own machine holds and a round what has changed, whatever the part's size.
@@ -47,6 +55,8 @@
   readonly waiting = new Set<Chunk>();
   /** Chunks that are not as the state service holds them. */
   readonly dirty = new Set<Chunk>();
+  /** Pieces on their way to the state service, and the chunks that they are taken from. */
+  private readonly planned = new Map<string, { from: Chunk; pieces: Piece[] }>();
   private readonly byJob = new Map<string, Set<Chunk>>();
   private readonly byMachine = new Map<string, Map<Slot, Chunk>>();
 
@@ -70,6 +80,9 @@
     if (known) return;
     const name = readChunkKey(key);
     if (!name) return;
+    const plan = this.planned.get(key);
+    // A piece that was given up and carried out late: its tasks must not stand in two chunks here.
+    if (!plan && !Number.isInteger(name.number)) this.resyncSharing(name.job, held.value);
     const chunk: Chunk = {
       key,
       job: name.job,
@@ -85,7 +98,79 @@
     const group = this.byJob.get(chunk.job);
     if (group) group.add(chunk);
     else this.byJob.set(chunk.job, new Set([chunk]));
-    this.fill(chunk);
+    if (plan) this.carryOver(plan.from, plan.pieces, chunk);
+    else this.fill(chunk);
+  }
+
+  private resyncSharing(job: string, record: ChunkRecord): void {
+    const ids = readRanges(record.ids);
+    for (const other of [...this.of(job)]) {
+      if (ids.some((id) => other.slots.has(id))) this.resync(other);
+    }
+  }
+
+  // --- Taking a chunk apart ------------------------------------------------------------------
+
+  /**
+   * The chunk's record as it is now, in as many pieces as values of so many bytes take: the version
+   * before may have stored it larger than the state service takes now.
+   */
+  pieces(chunk: Chunk, fresh: ReadonlySet<string>, most: number): Piece[] {
+    const record = this.write(chunk, fresh);
+    if (bytesOf(record) <= most) return [{ key: chunk.key, record, slots: [] }];
+    const slots = [...chunk.slots.values()].sort((a, b) => a.index - b.index);
+    const pieces: Piece[] = [];
+    let count = 0;
+    for (let from = 0; from < slots.length;) {
+      let to = from + 1;
+      for (let least = to, last = slots.length; least <= last;) {
+        const middle = Math.floor((least + last) / 2);
+        if (bytesOf(this.write(chunk, fresh, slots.slice(from, middle))) <= most) {
+          to = middle;
+          least = middle + 1;
+        } else last = middle - 1;
+      }
+      let key = chunk.key;
+      while (pieces.length > 0 && (this.chunks.has(key) || this.view.get(key))) {
+        key = splitKey(chunk.key, ++count);
+      }
+      const some = slots.slice(from, to);
+      pieces.push({ key, record: this.write(chunk, fresh, some), slots: some });
+      from = to;
+    }
+    return pieces;
+  }
+
+  /** Told before the pieces are written: their keys may be seen before the answer comes. */
+  plan(from: Chunk, pieces: Piece[]): void {
+    for (const { key } of pieces.slice(1)) this.planned.set(key, { from, pieces });
+  }
+
+  /** The pieces were written, or were not and never will be. */
+  unplan(pieces: Piece[]): void {
+    for (const { key } of pieces.slice(1)) this.planned.delete(key);
+  }
+
+  /**
+   * Moves what a piece holds from its chunk into the new one, as it is by now: what was sent stays
+   * sent, and nothing starts again.
+   */
+  private carryOver(from: Chunk, pieces: Piece[], chunk: Chunk): void {
+    from.stored = pieces[0]?.record ?? from.stored;
+    for (const slot of pieces.find((piece) => piece.key === chunk.key)?.slots ?? []) {
+      if (from.slots.get(slot.index) !== slot) continue;
+      from.slots.delete(slot.index);
+      chunk.slots.set(slot.index, slot);
+      if (slot.state === 'live') {
+        this.lift(from, slot);
+        this.put(chunk, slot);
+      }
+      if (from.waiting.delete(slot)) chunk.waiting.add(slot);
+    }
+    if (from.waiting.size === 0) this.waiting.delete(from);
+    if (chunk.waiting.size > 0) this.waiting.add(chunk);
+    // Changed while it was written: which of the tasks did is not known.
+    if (this.dirty.has(from)) this.touch(chunk);
   }
 
   private fill(chunk: Chunk): void {
@@ -248,10 +333,16 @@
   }
 
   /** The chunk's record as it is now; new placements only on the machines that are named. */
-  write(chunk: Chunk, fresh: ReadonlySet<string>): ChunkRecord {
+  write(
+    chunk: Chunk,
+    fresh: ReadonlySet<string>,
+    slots: Iterable<Slot> = chunk.slots.values(),
+  ): ChunkRecord {
+    const ids: number[] = [];
     const live: ChunkRecord['live'] = {};
     const done: number[] = [];
-    for (const slot of chunk.slots.values()) {
+    for (const slot of slots) {
+      ids.push(slot.index);
       if (slot.state === 'live' && !this.committed(chunk, slot) && !fresh.has(slot.machine)) {
         continue;
       }
@@ -260,7 +351,7 @@
     }
     return {
       ...chunk.stored,
-      ids: writeRanges(chunk.slots.keys()),
+      ids: writeRanges(ids),
       done: writeRanges(done),
       live,
     };
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -54,6 +54,7 @@
       roleKey: 'r',
       roleMark: 1,
       txnOps: 32,
+      valueBytes: 8192,
       cloudRps: 1.5,
       listLagS: 12,
       leaseS: 24,
--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -65,12 +65,12 @@
     ]),
   );
   assert.ok(Math.abs(bandit.score('l', y) - 2 * Math.sqrt(2 + 0.75 ** 2 + 0.25 ** 2)) < 1e-9);
-  const record = bandit.record('s', 8192);
-  assert.ok(record);
+  const [record, more] = bandit.records('s', 8192, 1);
+  assert.ok(record && !more);
   const other = new Bandit(['s', 'l'], 2, 2);
   other.restore('s', record);
   assert.ok(Math.abs(other.score('s', x) - bandit.score('s', x)) < 1e-3);
-  assert.ok(JSON.stringify(bandit.record('s', 120)?.a ?? []).length <= 120);
+  for (const one of bandit.records('s', 120, 1)) assert.ok(JSON.stringify(one).length <= 120);
 });
 
 const good = {
