--- /dev/null
+++ b/test/records.test.ts
@@ -0,0 +1,298 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { readCatalog, writeCatalog } from '../src/bookkeeping/catalog.js';
+import { Gate } from '../src/bookkeeping/gate.js';
+import { CATALOG, CHUNKS, jobKey, statusKey } from '../src/bookkeeping/keys.js';
+import { readRanges, writeRanges } from '../src/bookkeeping/ranges.js';
+import type { ChunkRecord, StatusRecord } from '../src/bookkeeping/records.js';
+import { View } from '../src/bookkeeping/view.js';
+import { Bandit, type ArmRecord } from '../src/coordination/bandit.js';
+import type { TaskReport } from '../src/protocol/terms.js';
+import { SimClock } from './world/clock.js';
+import { JOB, lone, ops } from './world/lone.js';
+import { SimState } from './world/state.js';
+import { TYPES, silent } from './world/world.js';
+
+const SMALL = 2048;
+const bytes = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
+// --- Arms --------------------------------------------------------------------------------------
+
+const ARM_TYPES = ['dodo-small', 'dodo-large', 'dodo-huge'];
+
+function learned(): Bandit {
+  const bandit = new Bandit(ARM_TYPES, 2, 2);
+  for (let round = 0; round < 3; round++) {
+    for (let at = 0; at < 20; at++) {
+      const load = new Map(
+        ARM_TYPES.map((type, nth) => [type, 1 + ((at * 7 + nth * 3 + round) % 11)]),
+      );
+      for (const type of ARM_TYPES) {
+        const context = bandit.context(`class-of-work-${at}`, type, load);
+        // Mixed contexts fill the whole matrix.
+        bandit.finished(
+          type,
+          context.map((one, nth) => one + ((at + nth) % 5) / 7),
+          0.01 * (at + 1),
+        );
+      }
+    }
+  }
+  return bandit;
+}
+
+/** What the version before does with each key below a part's arms. */
+function restoreOld(types: string[], record: ArmRecord): number[][] | null {
+  if (record.types.join() !== types.join()) return null;
+  const size = 21 + 2 * types.length;
+  const a = Array.from({ length: size }, () => new Array<number>(size).fill(0));
+  for (const [row, column, value] of record.a) {
+    const [upper, lower] = [a[row], a[column]];
+    assert.ok(upper && lower);
+    upper[column] = value;
+    lower[row] = value;
+  }
+  for (const [row] of record.b) assert.ok(row < size);
+  return a;
+}
+
+/** Cholesky's way to tell whether a matrix is positive definite. */
+function isPositive(a: number[][]): boolean {
+  const l = a.map((row) => row.map(() => 0));
+  for (let i = 0; i < a.length; i++) {
+    for (let j = 0; j <= i; j++) {
+      let sum = a[i]?.[j] ?? 0;
+      for (let k = 0; k < j; k++) sum -= (l[i]?.[k] ?? 0) * (l[j]?.[k] ?? 0);
+      const row = l[i];
+      if (!row || (i === j && sum <= 0)) return false;
+      row[j] = i === j ? Math.sqrt(sum) : sum / (l[j]?.[j] ?? 1);
+    }
+  }
+  return true;
+}
+
+// A matrix that one value could not hold was cut to its diagonal, or thrown away.
+test('arms of twenty classes and three types come back whole from values of 2 KiB', () => {
+  const bandit = learned();
+  const other = new Bandit(ARM_TYPES, 2, 2);
+  const lossy = new Bandit(ARM_TYPES, 2, 2);
+  for (const type of ARM_TYPES) {
+    const records = bandit.records(type, SMALL, 5);
+    assert.ok(records.length > 2);
+    for (const [at, record] of records.entries()) {
+      assert.ok(bytes(record) <= SMALL, `${at}`);
+      const old = restoreOld(ARM_TYPES, structuredClone(record));
+      assert.equal(old !== null, at === 0, 'the version before takes the main record only');
+      if (old) assert.ok(isPositive(old));
+    }
+    const [main] = records;
+    assert.ok(main);
+    other.restore(type, main, (at) => records[at]);
+    // One piece of another snapshot: none of the pieces count.
+    const stale = records.map((record, at) => (at === 2 ? { ...record, stamp: 4 } : record));
+    lossy.restore(type, main, (at) => stale[at]);
+  }
+  const load = new Map(ARM_TYPES.map((type) => [type, 2]));
+  let lost = 0;
+  for (let at = 0; at < 20; at++) {
+    for (const type of ARM_TYPES) {
+      const x = bandit.context(`class-of-work-${at}`, type, load);
+      const [real, back] = [bandit.score(type, x), other.score(type, x)];
+      assert.ok(Math.abs(real - back) < 0.01 * Math.abs(real) + 1e-3, `${real} ${back}`);
+      lost += Math.abs(real - lossy.score(type, x));
+      assert.ok(Number.isFinite(lossy.score(type, x)));
+    }
+  }
+  assert.ok(lost > 1);
+});
+
+// --- Catalogue ---------------------------------------------------------------------------------
+
+test('a catalogue larger than a value is read whole, and what it no longer needs goes', async () => {
+  const clock = new SimClock();
+  const state = new SimState(clock);
+  state.valueBytes = SMALL;
+  const api = state.api('p');
+  const view = new View(api, new Gate(clock, 1000, 1000, 8), clock, silent, () => 0.5);
+  void view.follow();
+  const [small] = TYPES;
+  assert.ok(small);
+  for (const count of [1, 40, 15, 1]) {
+    const types: typeof TYPES = Array.from({ length: count }, (_, at) => ({
+      ...small,
+      name: `type-${at}`,
+    }));
+    await clock.run(clock.now() + 2000);
+    const changes = writeCatalog(view, types, SMALL);
+    for (const change of changes) assert.ok('remove' in change || bytes(change.value) <= SMALL);
+    state.change(changes);
+    await clock.run(clock.now() + 2000);
+    assert.deepEqual(readCatalog(view), types, `${count}`);
+    const [first] = (view.get<typeof TYPES>(CATALOG)?.value ?? []).map((type) => type.name);
+    assert.equal(first, 'type-0', 'the version before reads this record only');
+    assert.deepEqual(writeCatalog(view, types, SMALL), []);
+  }
+});
+
+// --- Status ------------------------------------------------------------------------------------
+
+const machinesOf = (state: SimState): string[][] => {
+  const shards: string[][] = [];
+  for (const [key, { value }] of state.cells) {
+    if (key.startsWith('mb/live/status/p/'))
+      shards.push(Object.keys((value as StatusRecord).machines));
+  }
+  return shards;
+};
+
+// Missing from all shards for a moment, a machine looks to the leader like one that never came up.
+test('a status written larger is taken apart, and no machine is missing in between', async () => {
+  for (const txnOps of [2, 8]) {
+    const machines: StatusRecord['machines'] = {};
+    for (let at = 0; at < 80; at++) machines[`m-${100000 + at}`] = ['small', 'a', 0, 'ok'];
+    const world = await lone({
+      txnOps,
+      valueBytes: SMALL,
+      held: [{ key: statusKey('p', 0), value: { machines } }],
+    });
+    assert.ok(bytes({ machines }) > SMALL);
+    // The last of them report on, the first stay where they were.
+    world.report();
+    let writes = 0;
+    for (let at = 0; at < 30; at++) {
+      const before = world.state.revision;
+      await world.round(250);
+      writes += world.state.revision - before;
+      const there = new Set(machinesOf(world.state).flat());
+      for (const name of Object.keys(machines)) assert.ok(there.has(name), name);
+    }
+    const shards = machinesOf(world.state);
+    assert.ok(shards.length >= 2);
+    assert.ok(writes > 0 && writes < 40, `${writes}`);
+    assert.equal(new Set(shards.flat()).size, shards.flat().length, 'each in one only');
+    assert.ok(new Set(shards.flat()).has('m-1'));
+    for (let at = 0; at < shards.length; at++) {
+      const value = world.state.cells.get(statusKey('p', at))?.value as StatusRecord;
+      assert.deepEqual(Object.keys(value), ['machines']);
+      assert.ok(bytes(value) <= SMALL);
+    }
+    assert.deepEqual(world.state.invalid, []);
+  }
+});
+
+// --- Chunks ------------------------------------------------------------------------------------
+
+const chunksOf = (state: SimState): [string, ChunkRecord][] =>
+  [...state.cells]
+    .filter(([key]) => key.startsWith(CHUNKS))
+    .map(([key, cell]) => [key, cell.value as ChunkRecord]);
+
+/** Each task stands in one chunk only, and each chunk says of its own tasks only. */
+function checkChunks(state: SimState, tasks: number): void {
+  const ids: number[] = [];
+  for (const [key, record] of chunksOf(state)) {
+    const own = readRanges(record.ids);
+    ids.push(...own);
+    const done = readRanges(record.done);
+    for (const id of [...done, ...Object.keys(record.live).map(Number)])
+      assert.ok(own.includes(id));
+    for (const id of done) assert.ok(!(String(id) in record.live));
+    assert.ok(Number.isFinite(Number(key.split('/').at(-1))), 'a number for the version before');
+  }
+  assert.deepEqual(
+    ids.sort((a, b) => a - b),
+    Array.from({ length: tasks }, (_, at) => at),
+  );
+}
+
+test('a chunk stored larger is split with its tasks as they are, and nothing starts again', async () => {
+  // Changes in one transaction, and whether the first end is enough to write the chunk at all.
+  for (const [txnOps, tasks, atOnce] of [
+    [4, 130, true],
+    [8, 130, true],
+    [2, 100, true],
+    [2, 146, false],
+  ] as const) {
+    const live: ChunkRecord['live'] = {};
+    const report = (done: number): TaskReport[] =>
+      Array.from({ length: tasks }, (_, at) => ({
+        task: { job: JOB, index: at },
+        attempt: 900_000_000_000_000 + at,
+        state: at < done ? 'exited' : 'running',
+        cause: at < done ? 'done' : null,
+      }));
+    for (let at = 0; at < tasks; at++) live[String(at)] = ['m-1', 900_000_000_000_000 + at];
+    const world = await lone({
+      txnOps,
+      valueBytes: SMALL,
+      spec: { tasks, cpus: 0.01, memoryGb: 0.01 },
+      ids: writeRanges(Object.keys(live).map(Number)),
+      live,
+    });
+    const name = `${txnOps} ${tasks}`;
+    assert.ok(bytes(world.stored()) > SMALL, name);
+    assert.deepEqual(ops(world.report({}, report(0))), [], name);
+    world.report({}, report(1));
+    await world.round(5000);
+    checkChunks(world.state, tasks);
+    assert.equal(chunksOf(world.state).length > 1, atOnce, name);
+    for (const [, record] of chunksOf(world.state)) {
+      if (atOnce) assert.ok(bytes(record) <= SMALL, name);
+    }
+    // What has ended is forgotten once it is written; nothing else is said of any task.
+    const known = report(1).slice(atOnce ? 1 : 0);
+    const said = ops(world.report({}, report(1)));
+    assert.deepEqual(said, atOnce ? ['forget'] : [], name);
+    world.report({}, known);
+    // The others end in all pieces.
+    for (let end = 10; end < tasks + 10; end += 10) {
+      const done = Math.min(end, tasks);
+      const commands = world.report({}, report(done));
+      assert.ok(!ops(commands).some((op) => op !== 'forget'), name);
+      await world.round(5000);
+      checkChunks(world.state, tasks);
+    }
+    const done = chunksOf(world.state).flatMap(([, record]) => readRanges(record.done));
+    assert.equal(done.length, tasks, name);
+    assert.deepEqual(world.state.invalid, [], name);
+    assert.equal(
+      world.sent.flatMap((one) => ops(one.commands)).filter((op) => op === 'start').length,
+      0,
+    );
+  }
+});
+
+test('a split whose answer is lost is carried on from what the state service holds', async () => {
+  const live: ChunkRecord['live'] = {};
+  for (let at = 0; at < 90; at++) live[String(at)] = ['m-1', 900_000_000_000_000 + at];
+  const world = await lone({
+    valueBytes: SMALL,
+    spec: { tasks: 90, cpus: 0.01, memoryGb: 0.01 },
+    ids: '0-89',
+    live,
+  });
+  const report = (done: number): TaskReport[] =>
+    Array.from({ length: 90 }, (_, at) => ({
+      task: { job: JOB, index: at },
+      attempt: 900_000_000_000_000 + at,
+      state: at < done ? 'exited' : 'running',
+      cause: at < done ? 'done' : null,
+    }));
+  world.report({}, report(1));
+  world.state.late.set('p', 3000);
+  await world.round(12_000);
+  checkChunks(world.state, 90);
+  assert.ok(chunksOf(world.state).length > 1);
+  assert.deepEqual(ops(world.report({}, report(1))), ['forget']);
+  world.report({}, report(90).slice(1));
+  await world.round(8000);
+  checkChunks(world.state, 90);
+  const done = chunksOf(world.state).flatMap(([, record]) => readRanges(record.done));
+  assert.equal(done.length, 90);
+  // The job is cancelled: all pieces go.
+  world.state.change([{ key: jobKey(JOB), remove: true }]);
+  await world.clock.run(world.clock.now() + 300);
+  world.report();
+  await world.round(3000);
+  assert.deepEqual(chunksOf(world.state), []);
+});
