Test: a new version on the old one's records, its writes read by the old one's rules

Records as the version before left them, running workers and limits that are lowered from the start, in the middle, or to two changes a transaction.

--- /dev/null
+++ b/test/upgrade.test.ts
@@ -0,0 +1,290 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  CATALOG,
+  FINALS,
+  LIVE,
+  armKey,
+  chunkKey,
+  finalKey,
+  jobKey,
+  machineKey,
+  nodeKey,
+  roleKey,
+  statusKey,
+} from '../src/bookkeeping/keys.js';
+import type { ChunkRecord, StatusRecord } from '../src/bookkeeping/records.js';
+import type { Settings } from '../src/protocol/settings.js';
+import { SPEC } from './world/lone.js';
+import { TYPES, World, type SimJob } from './world/world.js';
+
+/*
+ * What the version before this one takes of each record, as it reads it: it checks nothing, so a
+ * field that it uses and does not find would be wrong sums, or an exception in the middle of a round.
+ */
+const fields = (value: unknown, names: Record<string, string>): boolean =>
+  Object.entries(names).every(([name, type]) => {
+    const one = (value as Record<string, unknown>)[name];
+    return type === 'list' ? Array.isArray(one) : typeof one === type;
+  });
+
+const RANGES = /^$|^\d+(-\d+)?(,\d+(-\d+)?)*$/;
+const count = (ranges: string): number =>
+  ranges === ''
+    ? 0
+    : ranges
+        .split(',')
+        .map((range) => range.split('-').map(Number))
+        .reduce((sum, [from = 0, to = from]) => sum + to - from + 1, 0);
+
+/** Twenty classes, one for all others, and for each type its load and itself. */
+const ARM_SIZE = 21 + 2 * TYPES.length;
+
+const OLD: Record<string, (name: string[], value: never) => boolean> = {
+  job: ([id], value: { spec: object }) =>
+    fields(value, { spec: 'object', at: 'number' }) &&
+    Object.keys(SPEC).every((field) => field in value.spec) &&
+    (value.spec as { id: string }).id === id,
+  chunk: (name, value: ChunkRecord) =>
+    name.length === 3 &&
+    Number.isFinite(Number(name[2])) &&
+    fields(value, {
+      ids: 'string',
+      done: 'string',
+      live: 'object',
+      team: 'string',
+      zone: 'string',
+    }) &&
+    fields(value, { cpus: 'number', gpus: 'number', memoryGb: 'number' }) &&
+    RANGES.test(value.ids) &&
+    RANGES.test(value.done) &&
+    Object.values(value.live).every(
+      ([machine, attempt]) => typeof machine === 'string' && Number.isSafeInteger(attempt),
+    ) &&
+    count(value.done) + Object.keys(value.live).length <= count(value.ids),
+  machine: (_, value: object) =>
+    fields(value, {
+      state: 'string',
+      type: 'string',
+      zone: 'string',
+      spot: 'boolean',
+      at: 'number',
+    }),
+  status: (name, value: StatusRecord) =>
+    name.length === 2 &&
+    Number.isInteger(Number(name[1])) &&
+    Object.values(value.machines).every(
+      ([type, zone, spot, health]) =>
+        typeof type === 'string' &&
+        typeof zone === 'string' &&
+        (spot === 0 || spot === 1) &&
+        ['ok', 'leaving', 'silent', 'faulty'].includes(health),
+    ),
+  // It restores the key's last word; other types than its own make it pass the record over.
+  arm: ([, type], value: { types: string[]; a: [number, number, number][] }) =>
+    fields(value, { classes: 'list', types: 'list', a: 'list', b: 'list' }) &&
+    (value.types.length === 0 ||
+      (TYPES.some((one) => one.name === type) &&
+        // It inverts A at once, which throws where the diagonal is not whole.
+        value.a.filter(([row, column, one]) => row === column && one > 0).length === ARM_SIZE)),
+  role: (_, value: object) =>
+    fields(value, { owner: 'string', incarnation: 'string', term: 'number', movedAt: 'number' }),
+  node: (_, value: object) => fields(value, { incarnation: 'string' }),
+  catalog: (name, value: object[]) =>
+    // It reads the first record only.
+    name.length > 0 ||
+    value.every((type) => Object.keys(TYPES[0] ?? {}).every((one) => one in type)),
+};
+
+function takenByOld(key: string, value: unknown): boolean {
+  if (key.startsWith(FINALS)) return fields(value, { state: 'string', tasks: 'number' });
+  const [kind = '', ...name] = key.slice(LIVE.length).split('/');
+  return OLD[kind]?.(name, value as never) ?? false;
+}
+
+const MACHINES = 80;
+
+const TERM = 3;
+
+/** Records as the version before left them, and workers that run what they say. */
+async function leftBehind(tasks: number, overrides: Partial<Settings>): Promise<World> {
+  const world = new World(4, [['n0', 'a']], {
+    ...overrides,
+    fleet: { idleS: 1e6, headroomCpus: 0, spot: true, maxMachines: 200 },
+  });
+  world.kill('n0');
+  world.capacity = 200;
+  const names = Array.from({ length: MACHINES }, () => world.addMachine('small', 'a', false, 0));
+  const wall = world.clock.wall();
+  const job: SimJob = {
+    team: 'red',
+    cpus: 0.1,
+    tasks,
+    runS: 3600,
+    service: false,
+    spot: false,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    cancelledAt: null,
+    urgent: false,
+    deadlineS: null,
+    broken: false,
+  };
+  world.jobs.set('j-000001', job);
+  world.jobs.set('j-000002', { ...job, tasks: 10, runS: 8 });
+  const spec = { ...SPEC, cpus: 0.1, memoryGb: 0.1, estimateS: 600 };
+  const kind = { team: 'red', cpus: 0.1, gpus: 0, memoryGb: 0.1, zone: 'a' };
+  const attempt = (at: number): number => (TERM * 64 + 1) * 2 ** 20 + at;
+  const live: ChunkRecord['live'] = {};
+  for (let at = 0; at < tasks; at++) live[String(at)] = [names[at % MACHINES] ?? '', attempt(at)];
+  const [last = ''] = names.slice(-1);
+  const role = { owner: 'n0', incarnation: 'n0-before', term: TERM, movedAt: 0 };
+  world.state.change([
+    { key: roleKey('leader'), value: role },
+    { key: roleKey('part-n0'), value: role },
+    { key: nodeKey('n0'), value: { incarnation: 'n0-before' } },
+    { key: CATALOG, value: TYPES },
+    { key: jobKey('j-000001'), value: { spec: { ...spec, id: 'j-000001', tasks }, at: wall } },
+    { key: jobKey('j-000002'), value: { spec: { ...spec, id: 'j-000002', tasks: 10 }, at: wall } },
+    {
+      key: chunkKey('n0', 'j-000001', 3_000_001),
+      value: { ids: `0-${tasks - 1}`, done: '', live, ...kind },
+    },
+    {
+      key: chunkKey('n0', 'j-000002', 3_000_002),
+      value: { ids: '0-9', done: '0-4', live: { '5': [last, attempt(tasks)] }, ...kind },
+    },
+    ...names.map((name) => ({
+      key: machineKey(name),
+      value: { state: 'rented', type: 'small', zone: 'a', spot: false, at: wall },
+    })),
+    {
+      key: statusKey('n0', 0),
+      value: { machines: Object.fromEntries(names.map((name) => [name, ['small', 'a', 0, 'ok']])) },
+    },
+    {
+      key: armKey('n0', 'small'),
+      value: {
+        classes: ['work'],
+        types: ['small'],
+        // A starts as identity: all of its diagonal is there.
+        a: Array.from({ length: ARM_SIZE }, (_, at) => [at, at, at === 0 ? 9 : 1]),
+        b: [[0, -0.1]],
+      },
+    },
+  ]);
+  for (const [key, { value }] of world.state.cells) assert.ok(takenByOld(key, value), key);
+  await world.clock.run(2);
+  const put = (task: string, machine: string, number: number): void => {
+    world.workers.get(machine)?.tasks.set(task, { attempt: number, state: 'running', cpus: 0.1 });
+  };
+  for (const [index, [machine, number]] of Object.entries(live))
+    put(`j-000001/${index}`, machine, number);
+  put('j-000002/5', last, attempt(tasks));
+  return world;
+}
+
+const LOWERED = { valueBytes: 2048, txnOps: 4 };
+
+test('a new version takes over what the old one left, and writes what the old one reads', async () => {
+  // Live tasks in one chunk, the limits that the settings tell of, and when they come into force.
+  const cases: [string, number, Pick<Settings, 'valueBytes' | 'txnOps'>, number][] = [
+    ['in force from the start', 130, LOWERED, 0],
+    ['in force in the middle of it', 130, LOWERED, 31],
+    ['two changes a transaction', 90, { valueBytes: 2048, txnOps: 2 }, 0],
+    ['nothing announced', 130, { valueBytes: 8192, txnOps: 8 }, Infinity],
+  ];
+  for (const [name, tasks, limits, atS] of cases) {
+    const world = await leftBehind(tasks, limits);
+    const from = world.state.log.length;
+    const lower = (): void => {
+      world.state.valueBytes = limits.valueBytes;
+      world.state.txnOps = limits.txnOps;
+    };
+    if (atS === 0) lower();
+    else if (atS < Infinity) world.clock.after(atS * 1000, lower);
+    world.boot('n0');
+    const check = (): void => {
+      const seen = new Map<string, string>();
+      const listed = new Set<string>();
+      for (const [key, { value }] of world.state.cells) {
+        const [kind, , job] = key.slice(LIVE.length).split('/');
+        if (kind === 'status') {
+          for (const one of Object.keys((value as StatusRecord).machines)) listed.add(one);
+        }
+        if (kind !== 'chunk') continue;
+        for (const range of (value as ChunkRecord).ids.split(',')) {
+          const [first = 0, end = first] = range.split('-').map(Number);
+          for (let id = first; id <= end; id++) {
+            assert.equal(
+              seen.get(`${job}/${id}`),
+              undefined,
+              `${name}: ${job}/${id} in two chunks`,
+            );
+            seen.set(`${job}/${id}`, key);
+          }
+        }
+      }
+      for (let id = 0; id < tasks; id++)
+        assert.ok(seen.has(`j-000001/${id}`), `${name}: lost ${id}`);
+      assert.equal(listed.size, MACHINES, `${name}: machines in the status`);
+    };
+    const run = async (seconds: number): Promise<void> => {
+      for (let at = 0; at < seconds * 4; at++) {
+        await world.run(0.25);
+        check();
+      }
+    };
+    await run(20);
+    void world.submit('j-000003', { team: 'blue', spot: false });
+    // A task fails, so that the chunk has to be written anew; others end.
+    const end = (task: string, cause: string): void => {
+      for (const worker of world.workers.values()) {
+        const one = worker.tasks.get(task);
+        if (one) Object.assign(one, { state: 'exited', cause });
+      }
+    };
+    end('j-000001/7', 'error');
+    end('j-000002/5', 'done');
+    await run(20);
+    end('j-000001/40', 'error');
+    await run(60);
+    assert.deepEqual(world.broken, [], name);
+    assert.deepEqual(world.state.invalid, [], name);
+    assert.equal(world.workers.size, MACHINES, `${name}: none returned`);
+    const again = world.starts
+      .map((one) => one.task)
+      .filter((task) => task.startsWith('j-000001/'));
+    assert.deepEqual(
+      again,
+      ['j-000001/7', 'j-000001/40'],
+      `${name}: only what failed starts again`,
+    );
+    const others = world.starts.filter((one) => !one.task.startsWith('j-000001/'));
+    assert.equal(others.length, 4 + 4, `${name}: what waited and what came, each once`);
+    for (const id of ['j-000002', 'j-000003']) {
+      const final = world.state.cells.get(finalKey(id))?.value as { state?: string } | undefined;
+      assert.equal(final?.state, 'done', `${name}: ${id}`);
+    }
+    for (const role of ['leader', 'part-n0']) {
+      const held = world.state.cells.get(roleKey(role))?.value as { term: number };
+      assert.equal(held.term, TERM + 1, `${name}: ${role}`);
+    }
+    const apart = world.state.log.some(({ key }) => /chunk\/.*\.\d+$/.test(key));
+    assert.equal(apart, limits.valueBytes < 4096, `${name}: the chunk was split`);
+    let arms = 0;
+    for (const { key, value, removed } of world.state.log.slice(from)) {
+      if (removed) continue;
+      if (key.startsWith(armKey('n0', ''))) arms++;
+      assert.ok(takenByOld(key, value), `${name}: ${key} ${JSON.stringify(value)}`);
+      const bytes = Buffer.byteLength(JSON.stringify(value));
+      assert.ok(bytes <= limits.valueBytes, `${name}: ${key} takes ${bytes}`);
+    }
+    assert.ok(arms > 0, `${name}: arms were written`);
+    const shards = [...world.state.cells.keys()].filter((key) =>
+      key.startsWith(statusKey('n0', 0).slice(0, -1)),
+    );
+    assert.equal(shards.length, limits.valueBytes > 4096 ? 1 : 2, name);
+  }
+});
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -130,6 +130,8 @@
       ['n1', 'a'],
       ['n2', 'b'],
     ],
+    /** What the nodes' settings say otherwise. */
+    readonly overrides: Partial<Settings> = {},
   ) {
     this.random = xoroshiro128plus(seed);
     for (const [name] of members) this.boot(name);
@@ -211,7 +213,7 @@
       },
     };
     const node = new ControllerNode(
-      settingsOf(name, zone, this.members),
+      { ...settingsOf(name, zone, this.members), ...this.overrides },
       outside,
       silent,
       `${name}-${++this.incarnations}`,
