--- a/src/bookkeeping/committer.ts
+++ b/src/bookkeeping/committer.ts
@@ -1,6 +1,12 @@
 import { isDeepStrictEqual } from 'node:util';
 import { BACKOFF_FIRST_MS, BACKOFF_LAST_MS } from '../constants.js';
-import { Refused, type Change, type Guard, type StateApi } from '../protocol/state-api.js';
+import {
+  NO_SUCH_LEASE,
+  Refused,
+  type Change,
+  type Guard,
+  type StateApi,
+} from '../protocol/state-api.js';
 import { Backoff } from '../transport/backoff.js';
 import { sleep, type Clock } from '../transport/clock.js';
 import type { Gate, Purpose } from './gate.js';
@@ -14,7 +20,12 @@
   /** Not carried out, and no longer tried; `unsure`: it may still be carried out. */
   | { kind: 'givenUp'; unsure: boolean }
   /** A try had no answer, and by now is known neither to have been carried out nor ever to be. */
-  | { kind: 'settled' };
+  | { kind: 'settled' }
+  /** The state service takes no such transaction, too large for one; `unsure`: as above. */
+  | { kind: 'invalid'; unsure: boolean };
+
+/** Bytes that a value takes in the state service. */
+export const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value) ?? '');
 
 /**
  * Carries transactions out to a known end. A transaction without an answer may be applied late, so
@@ -63,7 +74,13 @@
         return { kind: 'conflict', failed: result.failed };
       } catch (error) {
         if (error instanceof Refused) {
-          if (error.status === 400) return { kind: 'conflict', failed: [] };
+          if (error.status === 400 && error.reason === NO_SUCH_LEASE) {
+            return { kind: 'conflict', failed: [] };
+          }
+          if (error.status === 400) {
+            this.tellInvalid(purpose, guards, changes, error.reason);
+            return { kind: 'invalid', unsure };
+          }
           if (error.status === 429) this.gate.refused(changes.length);
         } else {
           unsure = true;
@@ -97,6 +114,27 @@
     return { kind: 'givenUp', unsure: false };
   }
 
+  /** A fault of this program or a limit that it does not know: the operators must hear of it. */
+  private tellInvalid(
+    purpose: Purpose,
+    guards: Guard[],
+    changes: Change[],
+    reason: string | null,
+  ): void {
+    const sizes = changes.map((change) => ('remove' in change ? 0 : bytesOf(change.value)));
+    this.log.error(
+      {
+        purpose,
+        reason,
+        keys: changes.map((change) => change.key),
+        guards: guards.length,
+        largestValueBytes: Math.max(0, ...sizes),
+        transactionBytes: bytesOf({ guards, changes }),
+      },
+      'state service calls a transaction invalid',
+    );
+  }
+
   private adopt(changes: Change[], revision: number): void {
     this.view.applyOwn(
       changes.map((change) => ({
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -45,6 +45,10 @@
 /** ms; first and longest pause after a failed request; the pause doubles in between. */
 export const BACKOFF_FIRST_MS = 100;
 export const BACKOFF_LAST_MS = 2_000;
+/** ms; first and longest pause of what the state service called invalid: it stays so until limits or
+ * records change, and others should not wait for it. */
+export const INVALID_PAUSE_FIRST_MS = 2_000;
+export const INVALID_PAUSE_LAST_MS = 60_000;
 /** ms; the same for the cloud, whose requests nobody waits for. */
 export const CLOUD_BACKOFF_FIRST_MS = 500;
 export const CLOUD_BACKOFF_LAST_MS = 8_000;
@@ -129,6 +133,14 @@
 export const CHUNK_TASK_BYTES = 56;
 /** Bytes that a chunk's record takes beside its placed tasks. */
 export const CHUNK_BYTES = 600;
+/** Bytes that a submission takes in a transaction beside its job's record: its keys, twice. */
+export const SUBMIT_BYTES = 400;
+/** Share of a value's limit that is filled when records are cut to it: the state service may count
+ * other spaces, escapes or digits than we do. */
+export const VALUE_SHARE = 0.95;
+/** ms; a chunk whose parts don't fit into one transaction is looked at again after this: until then
+ * some of its tasks have ended, and it is not looked at in each round. */
+export const CHUNK_HOLD_MS = 1_000;
 /** Submissions waiting for their commit in one node; more are told to come back. */
 export const SUBMIT_QUEUE = 256;
 /** Polls and checks waiting in one node; more are told to come back. */
@@ -232,8 +244,6 @@
 export const STARVED_SHARE = 0.25;
 /** Report intervals without a report after which a machine takes no new tasks. */
 export const SILENT_REPORTS = 3;
-/** Machines in one status record: keeps it far below the smallest value limit. */
-export const STATUS_SHARD = 80;
 /** ms; an offer that the cloud could not fill is asked for again after this. */
 export const NO_CAPACITY_PAUSE_MS = 15_000;
 /** Boot times after which a machine that never reported is returned: some take several. */
--- a/src/coordination/front.ts
+++ b/src/coordination/front.ts
@@ -4,14 +4,16 @@
   GUARDS_PER_OP,
   POLL_LIMIT_MS,
   RETRY_AFTER_S,
+  SUBMIT_BYTES,
   SUBMIT_LIMIT_MS,
   SUBMIT_QUEUE,
   TXN_BYTES,
   WATCHED_MS,
 } from '../constants.js';
-import type { Committer } from '../bookkeeping/committer.js';
+import { bytesOf, type Committer } from '../bookkeeping/committer.js';
 import type { Gate } from '../bookkeeping/gate.js';
-import { CATALOG, finalKey, jobKey } from '../bookkeeping/keys.js';
+import { readCatalog } from '../bookkeeping/catalog.js';
+import { finalKey, jobKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import type { FinalRecord, JobRecord } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
@@ -41,9 +43,12 @@
   cancel: () => void;
 }
 
+/** What became of a submission; 'invalid': the state service can't hold it. */
+type Accepted = 'accepted' | 'known' | 'unsure' | 'invalid';
+
 interface Submission {
   spec: JobSpec;
-  resolve: (result: 'accepted' | 'known' | 'unsure') => void;
+  resolve: (result: Accepted) => void;
   settled: boolean;
   cancel: () => void;
 }
@@ -78,6 +83,8 @@
   return null;
 }
 
+const TOO_LARGE = 'body: larger than the service can keep';
+
 const later = (status: number, error: string): HttpReply => ({
   status,
   body: { error },
@@ -113,6 +120,8 @@
     private readonly committed: (jobs: string[], cancelled?: { tasks: number }) => void,
     /** ms between two checking transactions: what comes meanwhile shares the next. */
     private readonly checkMs: number,
+    /** Bytes that the state service takes for one job's record. */
+    private readonly valueBytes: number,
   ) {
     view.onFresh((sentAt) => this.fresh(sentAt));
   }
@@ -141,8 +150,12 @@
     if (known === 'unsure') return later(503, 'state service does not answer');
     if (known) return { status: 200, body: encodeJobState(id, known.state) };
     const parsed = parseSubmission(json.value);
-    const types = this.view.get<MachineType[]>(CATALOG)?.value ?? null;
-    const reason = parsed.ok ? neverRuns(parsed.value, this.teams, types) : parsed.error;
+    const types = readCatalog(this.view);
+    let reason = parsed.ok ? neverRuns(parsed.value, this.teams, types) : parsed.error;
+    // Accepted it could never be written, and its user would be told to come back for ever.
+    if (parsed.ok && reason === null && this.recordBytes(parsed.value) > this.valueBytes) {
+      reason = TOO_LARGE;
+    }
     if (!parsed.ok || reason !== null) {
       const stored = await this.check(id, SUBMIT_LIMIT_MS);
       if (stored === 'unsure') return later(503, 'state service does not answer');
@@ -160,10 +173,16 @@
         return { status: 200, body: encodeJobState(id, stored.state) };
       }
     }
+    if (result === 'invalid') return { status: 422, body: { error: TOO_LARGE } };
     return later(503, 'not committed in time');
   }
 
-  private accept(spec: JobSpec): Promise<'accepted' | 'known' | 'unsure'> {
+  private recordBytes(spec: JobSpec): number {
+    const value: JobRecord = { spec, at: this.clock.wall() };
+    return bytesOf(value);
+  }
+
+  private accept(spec: JobSpec): Promise<Accepted> {
     return new Promise((resolve) => {
       const cancel = this.clock.after(SUBMIT_LIMIT_MS, () => this.settle(submission, 'unsure'));
       const submission: Submission = { spec, resolve, settled: false, cancel };
@@ -175,7 +194,7 @@
     });
   }
 
-  private settle(submission: Submission, result: 'accepted' | 'known' | 'unsure'): void {
+  private settle(submission: Submission, result: Accepted): void {
     if (submission.settled) return;
     submission.settled = true;
     submission.cancel();
@@ -193,19 +212,23 @@
   }
 
   private async commitGroup(): Promise<void> {
-    let group: Submission[] = [];
+    const group: Submission[] = [];
     let bytes = 0;
     const ids = new Set<string>();
     while (group.length < this.txnOps && this.submissions.length > 0) {
       const next = this.submissions[0];
       if (!next || ids.has(next.spec.id)) break;
-      bytes += JSON.stringify(next.spec).length + 400;
+      bytes += this.recordBytes(next.spec) + SUBMIT_BYTES;
       if (group.length > 0 && bytes > TXN_BYTES) break;
       this.submissions.shift();
       if (next.settled) continue;
       ids.add(next.spec.id);
       group.push(next);
     }
+    await this.commitJobs(group);
+  }
+
+  private async commitJobs(group: Submission[]): Promise<void> {
     while (group.length > 0) {
       const guards: Guard[] = [];
       const changes: Change[] = [];
@@ -223,6 +246,12 @@
         this.committed(group.map((one) => one.spec.id));
         return;
       }
+      if (result.kind === 'invalid') {
+        // One job must not take the others down: each is tried on its own, and then told.
+        if (group.length > 1) for (const one of group) await this.commitJobs([one]);
+        else for (const one of group) this.settle(one, result.unsure ? 'unsure' : 'invalid');
+        return;
+      }
       if (result.kind !== 'conflict') {
         for (const one of group) this.settle(one, 'unsure');
         return;
@@ -417,7 +446,7 @@
         this.committed([id], { tasks: value.tasks });
         return { status: 200, body: encodeJobState(id, 'cancelled') };
       }
-      if (result.kind === 'givenUp') break;
+      if (result.kind === 'givenUp' || result.kind === 'invalid') break;
       const known = await this.check(id, POLL_LIMIT_MS);
       if (known !== 'unsure' && known?.final) {
         return { status: 200, body: encodeJobState(id, known.state) };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -10,16 +10,10 @@
   STARVED_SHARE,
   URGENT_RESERVE,
 } from '../constants.js';
-import {
-  CATALOG,
-  JOBS,
-  MACHINES,
-  STATUSES,
-  chunkKey,
-  finalKey,
-  jobKey,
-} from '../bookkeeping/keys.js';
+import { readCatalog } from '../bookkeeping/catalog.js';
+import { JOBS, MACHINES, STATUSES, chunkKey, finalKey, jobKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
+import { Pauses } from '../bookkeeping/pauses.js';
 import { writeRanges } from '../bookkeeping/ranges.js';
 import type {
   ChunkRecord,
@@ -30,7 +24,7 @@
 } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
 import type { Change, Guard } from '../protocol/state-api.js';
-import { rankOf, type JobSpec, type MachineType } from '../protocol/terms.js';
+import { rankOf, type JobSpec } from '../protocol/terms.js';
 import type { Team } from '../protocol/settings.js';
 import type { Clock } from '../transport/clock.js';
 import { Gangs, planGang } from './gangs.js';
@@ -75,6 +69,8 @@
   private readonly ledger: Ledger;
   private readonly arrivals: Arrivals;
   private readonly gangs: Gangs;
+  /** Jobs whose changes the state service called invalid. */
+  private readonly pauses: Pauses;
   private busy = false;
   /** ms that the last round took, its waiting for the state service aside. */
   costMs = 0;
@@ -87,6 +83,7 @@
     private readonly log: Log,
   ) {
     this.teams = new Map(options.teams.map((team) => [team.name, team]));
+    this.pauses = new Pauses(clock);
     this.ledger = new Ledger(view, clock);
     this.arrivals = new Arrivals(view, clock);
     this.gangs = new Gangs(options.term);
@@ -104,6 +101,7 @@
     this.busy = true;
     try {
       this.ledger.refresh();
+      this.pauses.sweep();
       await this.finishJobs();
       return this.view.whole ? await this.assign() : new Set();
     } finally {
@@ -116,6 +114,7 @@
   private async finishJobs(): Promise<void> {
     const over: { id: string; mark: number; tasks: number }[] = [];
     for (const id of this.ledger.ripe) {
+      if (this.pauses.has(id)) continue;
       const held = this.view.get<JobRecord>(jobKey(id));
       const tasks = held?.value.spec.tasks ?? Infinity;
       if (held && (this.ledger.jobs.get(id)?.done ?? 0) >= endsAt(held.value.spec)) {
@@ -123,8 +122,10 @@
       } else this.ledger.ripe.delete(id);
     }
     const perTxn = Math.max(1, Math.floor(this.options.txnOps / 2));
-    for (let at = 0; at < over.length; at += perTxn) {
-      const group = over.slice(at, at + perTxn);
+    for (let at = 0; at < over.length;) {
+      const ids = over.slice(at).map((one) => one.id);
+      const group = over.slice(at, at + this.pauses.together(ids, perTxn));
+      at += group.length;
       const guards: Guard[] = [];
       const changes: Change[] = [];
       for (const { id, mark, tasks } of group) {
@@ -135,15 +136,17 @@
       const result = await this.options.tenure.commit('leader', guards, changes);
       this.log.info({ jobs: group.map((one) => one.id), result: result.kind }, 'jobs done');
       if (result.kind === 'givenUp') return;
+      for (const { id } of group) {
+        if (result.kind === 'invalid') this.pauses.add(id);
+        else this.pauses.clear(id);
+      }
     }
   }
 
   // --- Assigning -----------------------------------------------------------------------------
 
   private machines(): Map<string, Slotted> {
-    const types = new Map(
-      (this.view.get<MachineType[]>(CATALOG)?.value ?? []).map((type) => [type.name, type]),
-    );
+    const types = new Map((readCatalog(this.view) ?? []).map((type) => [type.name, type]));
     const machines = new Map<string, Slotted>();
     const add = (
       name: string,
@@ -214,7 +217,7 @@
     const changes: { key: string; value: ChunkRecord }[] = [];
     const urgentKeys = new Set<string>();
     for (const job of open) {
-      if (job.unassigned === 0) continue;
+      if (job.unassigned === 0 || this.pauses.has(job.id)) continue;
       if (job.spec.kind === 'gang') {
         this.assignGang(job, used, byPart, { changes, urgentKeys, unmet, limited }, startedAt);
         continue;
@@ -281,8 +284,10 @@
     };
     this.costMs = this.clock.now() - startedAt;
     const parts = new Set<string>();
-    for (let at = 0; at < changes.length; at += this.options.txnOps) {
-      const group = changes.slice(at, at + this.options.txnOps);
+    for (let at = 0; at < changes.length;) {
+      const about = changes.slice(at).map((one) => one.key.split('/').at(-2) ?? '');
+      const group = changes.slice(at, at + this.pauses.together(about, this.options.txnOps));
+      at += group.length;
       const jobs = new Set(group.map((one) => one.key.split('/').at(-2) ?? ''));
       const guards: Guard[] = group.map((one) => ({ key: one.key, mark: 0 }));
       // A job that is cancelled meanwhile gets no chunk. With the role that is at most two guards
@@ -295,6 +300,10 @@
       // not make it a second time, for its tasks may be in another chunk by then.
       const result = await this.options.tenure.commit(purpose, guards, group, true);
       this.log.debug({ jobs: [...jobs], result: result.kind }, 'tasks assigned');
+      for (const job of jobs) {
+        if (result.kind === 'invalid') this.pauses.add(job);
+        else this.pauses.clear(job);
+      }
       if (result.kind !== 'done') break;
       // Lower work queues ahead of its room: its parts see it with their next look.
       if (urgent) for (const one of group) parts.add(one.key.split('/').at(-3) ?? '');
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -151,6 +151,7 @@
       this.committer,
       clock,
       log,
+      settings.txnOps,
     );
     this.front = new Front(
       settings.teams,
@@ -163,6 +164,7 @@
       log,
       (jobs, cancelled) => this.tellOf(jobs, cancelled),
       spacing(CHECK_SHARE),
+      settings.valueBytes,
     );
     const leading = (): number => (this.leader ? LOOP_MS : LOOP_IDLE_MS);
     this.rolesLoop = this.loop(
@@ -400,6 +402,7 @@
       this.fleet = new Fleet(
         {
           ...common,
+          valueBytes: settings.valueBytes,
           cloudRps: settings.cloudRps,
           listLagS: settings.listLagS,
           leaseS: settings.leaseS,
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -3,7 +3,7 @@
 import { FINALS, readChunkKey, roleKey } from '../src/bookkeeping/keys.js';
 import { LEADER, partRole } from '../src/coordination/roles.js';
 import type { SimWorker } from './world/worker.js';
-import { World, type SimJob } from './world/world.js';
+import { FLEET, World, type SimJob } from './world/world.js';
 
 const GANG = 'j-000001';
 const OTHER = 'j-000002';
@@ -495,7 +495,8 @@
 
 for (const { name, zones, maxMachines, act, done } of ROWS) {
   test(`gang: ${name}`, async () => {
-    const world = new World(1, undefined, maxMachines);
+    const fleet = { ...FLEET, ...(maxMachines === undefined ? {} : { maxMachines }) };
+    const world = new World(1, undefined, { fleet });
     for (const zone of zones ?? ['a', 'a', 'b']) world.addMachine('small', zone, false, 500);
     await world.run(6);
     await act(world);
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -53,6 +53,7 @@
       term: 1,
       tenure: { alive: () => true, commit } as unknown as Tenure,
       txnOps: 32,
+      valueBytes: 8192,
       cloudRps: 1.5,
       listLagS: 12,
       leaseS: 24,
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -49,12 +49,10 @@
   { name: 'wide', cpus: 0, cpusMax: 60, gpus: 0, gpusMax: 0 },
 ];
 
-export function settingsOf(
-  node: string,
-  zone: string,
-  all: [string, string][],
-  maxMachines = 8,
-): Settings {
+/** What operators would set for the world's fleet. */
+export const FLEET = { idleS: 30, headroomCpus: 0, spot: true, maxMachines: 8 };
+
+export function settingsOf(node: string, zone: string, all: [string, string][]): Settings {
   return {
     node,
     zone,
@@ -72,6 +70,8 @@
     reportS: 3,
     leaseS: 24,
     cancelS: 50,
+    gangWaitS: 35,
+    gangPeerS: 8,
     stateRps: 80,
     stateWriteRps: 25,
     valueBytes: 8192,
@@ -80,7 +80,7 @@
     listLagS: 4,
     sockets: 1000,
     placement: { alpha: 2, penalty: 2, snapshotS: 30 },
-    fleet: { idleS: 30, headroomCpus: 0, spot: true, maxMachines },
+    fleet: FLEET,
   };
 }
 
@@ -168,7 +168,8 @@
       ['n1', 'a'],
       ['n2', 'b'],
     ],
-    private readonly maxMachines = 8,
+    /** What the nodes' settings say otherwise. */
+    readonly overrides: Partial<Settings> = {},
   ) {
     this.random = xoroshiro128plus(seed);
     this.state = new SimState(this.clock, seed);
@@ -251,7 +252,7 @@
       },
     };
     const node = new ControllerNode(
-      settingsOf(name, zone, this.members, this.maxMachines),
+      { ...settingsOf(name, zone, this.members), ...this.overrides },
       outside,
       silent,
       `${name}-${++this.incarnations}`,
