--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -10,18 +10,11 @@
   STARVED_SHARE,
   URGENT_RESERVE,
 } from '../constants.js';
-import { readCatalog } from '../bookkeeping/catalog.js';
-import { JOBS, MACHINES, STATUSES, chunkKey, finalKey, jobKey } from '../bookkeeping/keys.js';
+import { JOBS, chunkKey, finalKey, jobKey } from '../bookkeeping/keys.js';
 import type { Log } from '../bookkeeping/log.js';
 import { Pauses } from '../bookkeeping/pauses.js';
 import { writeRanges } from '../bookkeeping/ranges.js';
-import type {
-  ChunkRecord,
-  FinalRecord,
-  JobRecord,
-  MachineRecord,
-  StatusRecord,
-} from '../bookkeeping/records.js';
+import type { ChunkRecord, FinalRecord, JobRecord } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
 import type { Change, Guard } from '../protocol/state-api.js';
 import { rankOf, type JobSpec } from '../protocol/terms.js';
@@ -29,8 +22,9 @@
 import type { Clock } from '../transport/clock.js';
 import { Gangs, planGang } from './gangs.js';
 import { Arrivals, Ledger, URGENT, endsAt, placeOf, type Usage } from './ledger.js';
+import { Inventory } from './inventory.js';
 import { inTurn, type Open } from './order.js';
-import { partOf, type Member } from './rendezvous.js';
+import type { Member } from './rendezvous.js';
 import { howMany, mayUse, need, occupy, type Picture, type Slotted, type Unmet } from './rooms.js';
 import type { Tenure } from './tenure.js';
 
@@ -64,10 +58,10 @@
   private readonly assigned = new Map<string, { at: number; short: number }>();
   /** When something of a job ran or was handed out last, as far as this leader saw. */
   private readonly servedAt = new Map<string, number>();
-  private readonly parts = new Map<string, string>();
   private readonly teams: ReadonlyMap<string, Team>;
   private readonly ledger: Ledger;
   private readonly arrivals: Arrivals;
+  private readonly inventory: Inventory;
   private readonly gangs: Gangs;
   /** Jobs whose changes the state service called invalid. */
   private readonly pauses: Pauses;
@@ -87,6 +81,7 @@
     this.ledger = new Ledger(view, clock);
     this.arrivals = new Arrivals(view, clock);
     this.gangs = new Gangs(options.term);
+    this.inventory = new Inventory(options.members, view, this.ledger);
   }
 
   /** A key of the view changed. */
@@ -145,67 +140,12 @@
 
   // --- Assigning -----------------------------------------------------------------------------
 
-  private machines(): Map<string, Slotted> {
-    const types = new Map((readCatalog(this.view) ?? []).map((type) => [type.name, type]));
-    const machines = new Map<string, Slotted>();
-    const add = (
-      name: string,
-      part: string,
-      typeName: string,
-      zone: string,
-      spot: boolean,
-      health: Slotted['health'],
-    ): void => {
-      const type = types.get(typeName);
-      if (!type) return;
-      const placed = this.ledger.machines.get(name);
-      machines.set(name, {
-        name,
-        part,
-        type: typeName,
-        zone,
-        spot,
-        health,
-        cpus: type.cpus - (placed?.cpus ?? 0),
-        gpus: type.gpus - (placed?.gpus ?? 0),
-        memoryGb: type.memoryGb - (placed?.memoryGb ?? 0),
-        tasks: placed?.tasks ?? 0,
-        lowCpus: placed?.lowCpus ?? 0,
-      });
-    };
-    for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
-      const { state, type, zone, spot } = held.value;
-      if (state !== 'rented') continue;
-      const name = key.slice(MACHINES.length);
-      add(name, this.partOf(name, zone), type, zone, spot, 'booting');
-    }
-    for (const [key, held] of this.view.below<StatusRecord>(STATUSES)) {
-      const part = key.slice(STATUSES.length).split('/')[0] ?? '';
-      for (const [name, [type, zone, spot, health]] of Object.entries(held.value.machines)) {
-        const word = this.view.machine(name)?.state;
-        if (word === 'drain' || word === 'gone') continue;
-        add(name, part, type, zone, spot === 1, health);
-      }
-    }
-    return machines;
-  }
-
-  private partOf(name: string, zone: string): string {
-    let part = this.parts.get(name);
-    if (part === undefined) {
-      part = partOf(name, zone, this.options.members);
-      this.parts.set(name, part);
-    }
-    return part;
-  }
-
   private async assign(): Promise<Set<string>> {
     const startedAt = this.clock.now();
     for (const [job, { at }] of this.assigned) {
       if (startedAt - at >= ASSIGN_PACE_MS) this.assigned.delete(job);
     }
-    const machines = this.machines();
-    for (const name of this.parts.keys()) if (!machines.has(name)) this.parts.delete(name);
+    const machines = this.inventory.machines();
     const used = new Map<string, Usage>();
     for (const [team, use] of this.ledger.teams) used.set(team, { ...use });
     const unmet: Unmet[] = [];
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -1,32 +1,16 @@
-import { randomUUID } from 'node:crypto';
-import type { Server } from 'node:http';
-import type net from 'node:net';
 import {
   CHECK_SHARE,
-  CROWDED_SHARE,
-  CLOUD_TIMEOUT_MS,
-  DIRECT_AT_ONCE,
-  DIRECT_SOCKETS,
-  DIRECT_TIMEOUT_MS,
   FLEET_MS,
-  KEEP_ALIVE_MS,
   LEADER_GATHER_MS,
-  LIST_PAGE,
   LOOP_GATHER_MS,
   LOOP_IDLE_MS,
   LOOP_MS,
   LOOP_REST,
-  MAX_BODY_BYTES,
-  PEER_FRAME_BYTES,
-  PEER_RETRY_MS,
   POLL_WAIT_MS,
   REDIRECT_RETRY_MS,
   RELAY_TIMEOUT_MS,
-  RESERVED_SOCKETS,
   RETRY_AFTER_S,
   ROLES_MS,
-  STATE_SOCKETS,
-  STATE_TIMEOUT_MS,
   SUBMIT_WAIT_MS,
   USE_LOG_MS,
   WATCH_GRACE_SHARE,
@@ -41,25 +25,17 @@
 import { Reach } from '../bookkeeping/reach.js';
 import type { FinalRecord } from '../bookkeeping/records.js';
 import { View } from '../bookkeeping/view.js';
-import { HttpCloudApi, type CloudApi } from '../protocol/cloud-api.js';
-import {
-  decodePeer,
-  encodePeer,
-  type Ask,
-  type CancelledJob,
-  type PeerMessage,
-} from '../protocol/peer-messages.js';
+import { type CloudApi } from '../protocol/cloud-api.js';
+import { type Ask, type CancelledJob, type PeerMessage } from '../protocol/peer-messages.js';
 import type { Settings } from '../protocol/settings.js';
-import { HttpStateApi, type StateApi } from '../protocol/state-api.js';
+import { type StateApi } from '../protocol/state-api.js';
 import type { WorkerReport } from '../protocol/terms.js';
 import { parseJson } from '../protocol/user-codec.js';
 import { encodeRedirect, encodeReportAnswer, parseReport } from '../protocol/worker-codec.js';
 import { randomOf } from '../transport/backoff.js';
-import { systemClock, type Clock } from '../transport/clock.js';
-import { HttpWorkerApi, type WorkerApi } from '../protocol/worker-api.js';
-import { HttpClient } from '../transport/http-client.js';
-import { listenHttp, type HttpReply, type Route } from '../transport/http-server.js';
-import { PeerLink, listenPeers } from '../transport/peer-link.js';
+import { type Clock } from '../transport/clock.js';
+import { type WorkerApi } from '../protocol/worker-api.js';
+import { type HttpReply } from '../transport/http-server.js';
 import { Fleet } from './fleet.js';
 import { Front } from './front.js';
 import { Leader } from './leader.js';
@@ -583,96 +559,3 @@
     }
   }
 }
-
-/** A controller with its sockets, on the real clock. */
-export class Controller {
-  private constructor(
-    private readonly node: ControllerNode,
-    private readonly links: Map<string, PeerLink>,
-    private readonly servers: (Server | net.Server)[],
-    private readonly clients: { close(): void }[],
-  ) {}
-
-  static async start(settings: Settings, log: Log): Promise<Controller> {
-    const clock = systemClock;
-    const stateHttp = new HttpClient(settings.state, clock, STATE_SOCKETS);
-    const watchHttp = new HttpClient(settings.state, clock, 1);
-    const cloudHttp = new HttpClient(settings.cloud, clock, 2);
-    const direct = Math.floor(settings.sockets * DIRECT_SOCKETS);
-    const connections = settings.sockets - direct - RESERVED_SOCKETS;
-    const workers = new HttpWorkerApi(clock, DIRECT_TIMEOUT_MS, direct, DIRECT_AT_ONCE);
-    const links = new Map<string, PeerLink>();
-    const incarnation = randomUUID();
-    const node = new ControllerNode(
-      settings,
-      {
-        clock,
-        state: new HttpStateApi(stateHttp, watchHttp, STATE_TIMEOUT_MS),
-        cloud: new HttpCloudApi(cloudHttp, CLOUD_TIMEOUT_MS, LIST_PAGE),
-        workers,
-        peersThere: () => [...links].filter(([, link]) => link.connected).map(([name]) => name),
-        tellPeer: (name, message) => links.get(name)?.send(encodePeer(message)) ?? false,
-      },
-      log,
-      incarnation,
-    );
-    const peerOptions = {
-      clock,
-      retryMs: PEER_RETRY_MS,
-      maxFrameBytes: PEER_FRAME_BYTES,
-      onFrame: (frame: Buffer, answer: (frame: Uint8Array) => void) => {
-        const message = decodePeer(frame);
-        if (message) node.heard(message, (reply) => answer(encodePeer(reply)));
-      },
-    };
-    const routes: Route[] = [
-      {
-        method: 'POST',
-        path: '/checkin',
-        keeps: true,
-        handle: ({ text }) => node.report(text),
-      },
-      { method: 'POST', path: '/v2/runs', handle: ({ text }) => node.serve('submit', '', text) },
-      { method: 'GET', path: '/v2/runs/:id', handle: ({ id }) => node.serve('poll', id, null) },
-      {
-        method: 'POST',
-        path: '/v2/runs/:id/cancel',
-        handle: ({ id }) => node.serve('cancel', id, null),
-      },
-      { method: 'GET', path: '/metrics', handle: () => node.figures() },
-      {
-        method: 'GET',
-        path: '/ready',
-        handle: () =>
-          node.ready
-            ? { status: 200, body: { ready: true } }
-            : { status: 503, body: { ready: false }, retryAfterS: RETRY_AFTER_S },
-      },
-    ];
-    const http = await listenHttp(
-      settings.listen,
-      routes,
-      {
-        bodyBytes: MAX_BODY_BYTES,
-        connections,
-        crowded: Math.floor(connections * CROWDED_SHARE),
-        keepAliveMs: KEEP_ALIVE_MS,
-      },
-      (error) => log.error({ error: String(error) }, 'request failed'),
-    );
-    const peers = await listenPeers(settings.peerListen, peerOptions);
-    node.start();
-    for (const peer of settings.peers) {
-      links.set(peer.node, new PeerLink(peer.address, peerOptions));
-    }
-    log.info({ node: settings.node, incarnation }, 'started');
-    return new Controller(node, links, [http, peers], [stateHttp, watchHttp, cloudHttp, workers]);
-  }
-
-  stop(): void {
-    this.node.stop();
-    for (const link of this.links.values()) link.close();
-    for (const server of this.servers) server.close();
-    for (const client of this.clients) client.close();
-  }
-}
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -1,31 +1,19 @@
 import {
   BEGIN_WITHIN_S,
-  CHUNK_BYTES,
-  CHUNK_HOLD_MS,
-  CHUNK_TASK_BYTES,
   COMMANDS_MAX,
-  DONE_GATHER_MS,
   FAILURE_PAUSE_MAX_S,
   FAILURE_PAUSE_S,
-  GUARDS_PER_OP,
-  PLACE_GATHER_MS,
   QUEUE_RELEASE_MS,
   RELEASE_MS,
   SWEEP_MS,
   TOKEN_STEP,
-  TXN_BYTES,
-  VALUE_SHARE,
-  YIELD_MS,
 } from '../constants.js';
 import { readCatalog } from '../bookkeeping/catalog.js';
 import type { Committer } from '../bookkeeping/committer.js';
-import { ARMS, CHUNKS, JOBS, jobKey, machineKey, readChunkKey } from '../bookkeeping/keys.js';
+import { ARMS, CHUNKS, JOBS, readChunkKey } from '../bookkeeping/keys.js';
 import type { Gate } from '../bookkeeping/gate.js';
 import type { Log } from '../bookkeeping/log.js';
-import type { ChunkRecord } from '../bookkeeping/records.js';
-import { Pauses } from '../bookkeeping/pauses.js';
 import type { View } from '../bookkeeping/view.js';
-import type { Change, Guard } from '../protocol/state-api.js';
 import {
   rankOf,
   type Command,
@@ -41,7 +29,8 @@
 import { Machines, fits, take, type Direct, type Machine, type Room } from './machines.js';
 import { Placing } from './placing.js';
 import { Status } from './status.js';
-import { Tasks, type Chunk, type Piece, type Slot } from './tasks.js';
+import { Tasks, type Chunk, type Slot } from './tasks.js';
+import { ChunkWriter } from './chunk-writer.js';
 
 export interface PartOptions {
   part: string;
@@ -71,13 +60,6 @@
 
 export type ReportAnswer = { ok: true; token: number; commands: Command[] } | { ok: false };
 
-/** A chunk on its way to the state service; `record` null: it is over. */
-interface Written {
-  chunk: Chunk;
-  record: ChunkRecord | null;
-  pieces: Piece[];
-}
-
 /**
  * One part in the hands of its owner: its machines and the tasks assigned to it. Wanted is that
  * every task runs on one machine and that machines run nothing else; reports tell what is, and
@@ -87,11 +69,10 @@
   readonly machines: Machines;
   private readonly tasks: Tasks;
   private readonly gangs: GangShares;
+  private readonly writer: ChunkWriter;
   private bandit: Bandit | null = null;
   private placing: Placing | null = null;
   private readonly failures = new Map<string, { count: number; until: number }>();
-  /** Keys whose changes the state service called invalid. */
-  private readonly withheld: Pauses;
   /** Machines for which there may be commands that are not in any answer yet. */
   private readonly stirred = new Set<string>();
   /** Chunks of jobs that are over. */
@@ -103,16 +84,33 @@
   constructor(
     private readonly options: PartOptions,
     private readonly view: View,
-    private readonly committer: Committer,
+    committer: Committer,
     private readonly workers: WorkerApi,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly wake: () => void,
   ) {
-    this.withheld = new Pauses(clock);
     this.machines = new Machines(options, view, clock);
     this.tasks = new Tasks(options.part, view, clock);
     this.gangs = new GangShares(this.tasks, view, clock, log);
+    this.writer = new ChunkWriter(
+      options,
+      {
+        ended: this.ended,
+        spec: (job) => this.spec(job),
+        stored: (machines, urgent) => {
+          this.stir(machines);
+          if (urgent) options.written();
+          this.sendDirect();
+        },
+        dropped: (job) => this.failures.delete(job),
+      },
+      this.tasks,
+      view,
+      committer,
+      clock,
+      log,
+    );
     for (const chunk of this.tasks.chunks.values()) this.noteEnd(chunk);
     this.status = new Status(options, view, committer, this.machines, clock);
   }
@@ -397,7 +395,7 @@
   async round(): Promise<void> {
     if (this.busy) return;
     this.busy = true;
-    this.withheld.sweep();
+    this.writer.sweep();
     try {
       const placing = this.placing ?? (await this.loadPlacing());
       if (!placing) return;
@@ -406,7 +404,7 @@
       this.stir(placing.gather());
       this.stir(this.gangs.tend());
       this.release();
-      await this.flush();
+      await this.writer.flush();
       this.sendDirect();
       const types = this.types().map((type) => type.name);
       await this.status.round(this.bandit, types);
@@ -507,145 +505,4 @@
       }
     }
   }
-
-  // --- Commits -------------------------------------------------------------------------------
-
-  /** Removed once its job is over, or all of it was given back, and nothing of it is placed. */
-  private over(chunk: Chunk): boolean {
-    if (chunk.slots.size === 0) return true;
-    return chunk.placed === 0 && this.spec(chunk.job) === null;
-  }
-
-  /**
-   * Whether a chunk's changes should be written now. What starts tasks is; ends wait a moment for
-   * others, since a write for each short task is more than the state service takes.
-   */
-  private due(chunk: Chunk, now: number): boolean {
-    if (this.over(chunk)) return true;
-    const age = now - (chunk.dirtySince ?? now);
-    const supply = this.options.gate.supply;
-    if (age >= DONE_GATHER_MS[supply]) return true;
-    // Other parts with tasks of the gang stop theirs when they see this.
-    const shared = chunk.slots.size < (this.spec(chunk.job)?.tasks ?? 0);
-    if (chunk.broken && shared && !chunk.stored.stopping) return true;
-    let starts = false;
-    let open = chunk.waiting.size > 0;
-    for (const slot of chunk.slots.values()) {
-      if (slot.state !== 'live') continue;
-      open = true;
-      if (!this.tasks.committed(chunk, slot)) starts = true;
-    }
-    if (!starts && open) return false;
-    return this.urgent(chunk) || age >= PLACE_GATHER_MS[supply];
-  }
-
-  private urgent(chunk: Chunk): boolean {
-    const spec = this.spec(chunk.job);
-    if (spec?.kind === 'gang') return true;
-    return spec !== null && rankOf(spec.priority) >= rankOf('high');
-  }
-
-  /** The chunks that the next transaction takes. */
-  private ready(): Chunk[] {
-    const now = this.clock.now();
-    for (const chunk of this.ended) if (this.over(chunk)) this.tasks.touch(chunk);
-    const ready: Chunk[] = [];
-    for (const chunk of this.tasks.dirty) {
-      if (!this.withheld.has(chunk.key) && this.due(chunk, now)) ready.push(chunk);
-    }
-    return ready.sort((a, b) => Number(this.urgent(b)) - Number(this.urgent(a)));
-  }
-
-  private async flush(): Promise<void> {
-    for (let left = this.ready(); left.length > 0; left = this.ready()) {
-      const guards: Guard[] = [{ key: this.options.roleKey, mark: this.options.roleMark }];
-      const changes: Change[] = [];
-      const written: Written[] = [];
-      const machines = new Set<string>();
-      const jobs = new Set<string>();
-      let bytes = 0;
-      // Urgent work shares no transaction with other work, which may have to wait for its turn.
-      const urgent = left[0] !== undefined && this.urgent(left[0]);
-      const now = this.clock.now();
-      const old = left.some((chunk) => now - (chunk.dirtySince ?? now) > YIELD_MS);
-      const most = Math.min(left.length, this.options.txnOps);
-      if (!urgent && !old && !this.options.gate.hasRoom(most)) return;
-      const keys = left.map((chunk) => chunk.key);
-      for (const chunk of left.slice(0, this.withheld.together(keys, this.options.txnOps))) {
-        if (this.urgent(chunk) !== urgent) break;
-        bytes += CHUNK_BYTES + chunk.placed * CHUNK_TASK_BYTES;
-        if (bytes > TXN_BYTES && changes.length > 0) break;
-        // A machine that the leader takes out of use meanwhile gets no new task: each is guarded,
-        // and a transaction holds only so many guards. A chunk with more goes out in pieces: all
-        // in one would be refused, again and again.
-        const fresh = this.over(chunk) ? new Set<string>() : this.tasks.fresh(chunk);
-        const all = new Set([...machines, ...fresh]);
-        const room = this.options.txnOps * (GUARDS_PER_OP - 2) - 1;
-        if (all.size > room && changes.length > 0) break;
-        const some = new Set([...fresh].slice(0, room));
-        const fill = this.options.valueBytes * VALUE_SHARE;
-        const pieces = this.over(chunk) ? [] : this.tasks.pieces(chunk, some, fill);
-        // All in one transaction, or a task would be in two chunks or in none for a while.
-        if (changes.length + Math.max(1, pieces.length) > this.options.txnOps) {
-          if (changes.length > 0) break;
-          this.log.info(
-            { chunk: chunk.key, pieces: pieces.length },
-            'chunk too large to write yet',
-          );
-          this.withheld.hold(chunk.key, CHUNK_HOLD_MS);
-          continue;
-        }
-        for (const machine of some) machines.add(machine);
-        // Nor is a job placed that was called off a moment ago, which this node has not heard yet.
-        if (some.size > 0) jobs.add(chunk.job);
-        if (pieces.length === 0) {
-          guards.push({ key: chunk.key, mark: this.view.markOf(chunk.key) });
-          changes.push({ key: chunk.key, remove: true });
-        }
-        for (const { key, record } of pieces) {
-          guards.push({ key, mark: this.view.markOf(key) });
-          changes.push({ key, value: record });
-        }
-        this.tasks.plan(chunk, pieces);
-        written.push({ chunk, record: pieces[0]?.record ?? null, pieces });
-        if (some.size === fresh.size) this.tasks.clean(chunk);
-      }
-      if (changes.length === 0) continue;
-      for (const machine of machines) {
-        const key = machineKey(machine);
-        guards.push({ key, mark: this.view.markOf(key) });
-      }
-      for (const job of jobs)
-        guards.push({ key: jobKey(job), mark: this.view.markOf(jobKey(job)) });
-      const purpose = urgent ? 'urgent' : 'part';
-      const result = await this.committer.commit(purpose, guards, changes, this.options.alive);
-      for (const { pieces } of written) this.tasks.unplan(pieces);
-      if (!this.options.alive()) return;
-      if (result.kind !== 'done') {
-        // Nothing of this was written, or another's word is newer: what is stored counts again.
-        this.log.info({ result }, 'placements not committed');
-        for (const { chunk } of written) {
-          if (result.kind === 'invalid') this.withheld.add(chunk.key);
-          this.tasks.resync(chunk);
-        }
-        return;
-      }
-      for (const one of written) {
-        this.withheld.clear(one.chunk.key);
-        this.stored(one);
-      }
-      this.stir(machines);
-      if (urgent) this.options.written();
-      this.sendDirect();
-    }
-  }
-
-  private stored({ chunk, record }: Written): void {
-    if (record) {
-      chunk.stored = record;
-      return;
-    }
-    this.ended.delete(chunk);
-    if (this.tasks.drop(chunk)) this.failures.delete(chunk.job);
-  }
 }
