--- a/src/coordination/inventory.ts
+++ b/src/coordination/inventory.ts
@@ -44,6 +44,7 @@
         memoryGb: type.memoryGb - (placed?.memoryGb ?? 0),
         tasks: placed?.tasks ?? 0,
         lowCpus: placed?.lowCpus ?? 0,
+        lowMemoryGb: placed?.lowMemoryGb ?? 0,
       });
     };
     for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -25,7 +25,17 @@
 import { Inventory } from './inventory.js';
 import { inTurn, type Open } from './order.js';
 import type { Member } from './rendezvous.js';
-import { howMany, mayUse, need, occupy, type Picture, type Slotted, type Unmet } from './rooms.js';
+import {
+  howMany,
+  mayUse,
+  need,
+  occupy,
+  occupySoon,
+  soonRoom,
+  type Picture,
+  type Slotted,
+  type Unmet,
+} from './rooms.js';
 import type { Tenure } from './tenure.js';
 
 /** What waits in a part beyond its free room, and what its machines finish meanwhile. */
@@ -372,7 +382,7 @@
       // No free room: the part may stop lower work for it.
       for (const machine of machines) {
         if (machine.lowCpus <= 0 || !mayUse(spec, machine)) continue;
-        const count = howMany({ ...machine, cpus: machine.cpus + machine.lowCpus }, spec);
+        const count = howMany(soonRoom(machine), spec);
         if (count > 0) note(machine, count);
       }
     }
@@ -545,9 +555,9 @@
     }
     for (const machine of here) {
       if (left === 0) return;
-      if (machine.lowCpus < spec.cpus) continue;
-      const some = Math.min(left, Math.floor(machine.lowCpus / spec.cpus));
-      machine.lowCpus -= some * spec.cpus;
+      if (machine.lowCpus <= 0 || !mayUse(spec, machine)) continue;
+      const some = Math.min(left, howMany(soonRoom(machine), spec));
+      occupySoon(machine, spec, some);
       left -= some;
     }
   }
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -19,8 +19,9 @@
   gpus: number;
   memoryGb: number;
   tasks: number;
-  /** CPUs of tasks that rank below `high`: what urgent work could take. */
+  /** CPUs and memory of tasks that rank below `high`: what urgent work could take. */
   lowCpus: number;
+  lowMemoryGb: number;
 }
 
 /** How far the tasks of a job are handed out. */
@@ -175,14 +176,17 @@
     for (const name of chunk.on) {
       let placed = this.machines.get(name);
       if (!placed) {
-        placed = { cpus: 0, gpus: 0, memoryGb: 0, tasks: 0, lowCpus: 0 };
+        placed = { cpus: 0, gpus: 0, memoryGb: 0, tasks: 0, lowCpus: 0, lowMemoryGb: 0 };
         this.machines.set(name, placed);
       }
       placed.cpus += sign * chunk.cpus;
       placed.gpus += sign * chunk.gpus;
       placed.memoryGb += sign * chunk.memoryGb;
       placed.tasks += sign;
-      if (low) placed.lowCpus += sign * chunk.cpus;
+      if (low) {
+        placed.lowCpus += sign * chunk.cpus;
+        placed.lowMemoryGb += sign * chunk.memoryGb;
+      }
       if (placed.tasks === 0) this.machines.delete(name);
     }
   }
--- a/src/coordination/rooms.ts
+++ b/src/coordination/rooms.ts
@@ -21,8 +21,9 @@
   memoryGb: number;
   /** Tasks placed on it. */
   tasks: number;
-  /** CPUs of tasks that rank below `high`: what urgent work could take. */
+  /** CPUs and memory of tasks that rank below `high`: what urgent work could take. */
   lowCpus: number;
+  lowMemoryGb: number;
 }
 
 /** Tasks of a job for which no room was found. */
@@ -70,6 +71,26 @@
   );
 }
 
+/** The room that a machine has once lower work there has been stopped, or has ended. */
+export function soonRoom(machine: Slotted): Amounts {
+  return {
+    cpus: machine.cpus + machine.lowCpus,
+    gpus: machine.gpus,
+    memoryGb: machine.memoryGb + machine.lowMemoryGb,
+  };
+}
+
+/** Takes the room of so many tasks, of lower work what is not free. */
+export function occupySoon(machine: Slotted, spec: JobSpec, count: number): void {
+  const taken = need(spec, count);
+  const free = { cpus: Math.max(0, machine.cpus), memoryGb: Math.max(0, machine.memoryGb) };
+  occupy(machine, spec, count);
+  machine.lowCpus -= Math.max(0, taken.cpus - free.cpus);
+  machine.lowMemoryGb -= Math.max(0, taken.memoryGb - free.memoryGb);
+  machine.cpus = Math.max(machine.cpus, 0);
+  machine.memoryGb = Math.max(machine.memoryGb, 0);
+}
+
 /** Takes the room of so many tasks of a job from a machine. */
 export function occupy(machine: Slotted, spec: JobSpec, count: number): void {
   const taken = need(spec, count);
