--- a/test/units.test.ts
+++ b/test/units.test.ts
@@ -10,6 +10,7 @@
 import { neverRuns } from '../src/coordination/front.js';
 import { howMany } from '../src/coordination/rooms.js';
 import { letBeLate } from '../src/coordination/order.js';
+import { objections, readKnownRed } from './verdict.js';
 import { partOf } from '../src/coordination/rendezvous.js';
 import { fenceAt, graceMs, leaseMs } from '../src/coordination/roles.js';
 import { decodePeer, encodePeer, type PeerMessage } from '../src/protocol/peer-messages.js';
@@ -431,3 +432,24 @@
     assert.equal(gate.supply, supply, `${rate} a second`);
   }
 });
+
+// What a run of the tests comes to: nothing may hide behind the list of known failures.
+test('known failures are passed over, and only they, and only while they fail', () => {
+  const line = 'a | slow store | 13';
+  const cases: [string, string, string[], string[], RegExp | null][] = [
+    ['all pass, no list', '', ['a', 'b'], [], null],
+    ['one fails, no list', '', ['a'], ['b'], /^failed: b$/],
+    ['a listed one fails', line, ['b'], ['a'], null],
+    ['another fails beside it', line, [], ['a', 'b'], /^failed: b$/],
+    ['a listed one passes', line, ['a', 'b'], [], /passes: a$/],
+    ['a listed one was not run', line, ['b'], [], /not run: a$/],
+    ['nothing was run', '', [], [], /^no test/],
+  ];
+  for (const [name, list, passed, failed, objection] of cases) {
+    const found = objections(readKnownRed(list), new Set(passed), new Set(failed));
+    if (objection === null) assert.deepEqual(found, [], name);
+    else assert.match(found.join(), objection, name);
+  }
+  assert.throws(() => readKnownRed('a test without a cause'));
+  assert.throws(() => readKnownRed(Array(4).fill(line).join('\n')));
+});
