Gangs count on arrays to end, not on one another; submissions leave nodes short of writes

Normal gangs were handed to one part one after another, each counting on the room that others waited for and on running gangs, and came back after 20 s, one four times.

--- a/src/coordination/gangs.ts
+++ b/src/coordination/gangs.ts
@@ -8,7 +8,7 @@
 } from '../constants.js';
 import type { JobSpec } from '../protocol/terms.js';
 import { placeOf } from './ledger.js';
-import { howMany, mayUse, soonRoom, type Slotted } from './rooms.js';
+import { howMany, makingFor, mayUse, soonRoom, type Slotted } from './rooms.js';
 
 /** Tasks of a gang for one part. */
 export interface Share {
@@ -69,7 +69,7 @@
       places.set(key, (place = { part: machine.part, zone: machine.zone, now: 0, soon: 0 }));
     }
     place.now += howMany(machine, spec);
-    place.soon += howMany(soonRoom(machine), spec);
+    place.soon += howMany(soonRoom(machine, makingFor(spec)), spec);
   }
   const all = [...places.values()];
   const zones = new Map<string, Place[]>();
--- a/src/coordination/inventory.ts
+++ b/src/coordination/inventory.ts
@@ -45,6 +45,8 @@
         tasks: placed?.tasks ?? 0,
         lowCpus: placed?.lowCpus ?? 0,
         lowMemoryGb: placed?.lowMemoryGb ?? 0,
+        endingCpus: placed?.endingCpus ?? 0,
+        endingMemoryGb: placed?.endingMemoryGb ?? 0,
       });
     };
     for (const [key, held] of this.view.below<MachineRecord>(MACHINES)) {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -27,6 +27,7 @@
 import type { Member } from './rendezvous.js';
 import {
   howMany,
+  makingFor,
   mayUse,
   need,
   occupy,
@@ -290,8 +291,8 @@
   ): Open[] {
     let cpus = 0;
     const groups = new Map<string, Slotted[]>();
-    for (const machine of machines.values()) {
-      if (machine.health !== 'ok') continue;
+    const usable = [...machines.values()].filter((one) => one.health === 'ok');
+    for (const machine of usable) {
       cpus += Math.max(0, machine.cpus) + machine.lowCpus;
       const key = placeOf(machine.part, machine.zone);
       const group = groups.get(key);
@@ -331,6 +332,8 @@
         );
       }
       if (waiting === 0) continue;
+      // Room to come is kept there for a gang: others must not count on it.
+      if (chunk.attempt !== null) this.fillRoom(spec, chunk, waiting, usable);
       if (queue) queue.waitingCpus += waiting * spec.cpus;
       // A gang's machines must be where the rest of it has its room.
       const there = chunk.attempt !== null && spec.oneZone ? { ...spec, zone: chunk.zone } : spec;
@@ -382,7 +385,7 @@
       // No free room: the part may stop lower work for it.
       for (const machine of machines) {
         if (machine.lowCpus <= 0 || !mayUse(spec, machine)) continue;
-        const count = howMany(soonRoom(machine), spec);
+        const count = howMany(soonRoom(machine, 'stopping'), spec);
         if (count > 0) note(machine, count);
       }
     }
@@ -555,8 +558,8 @@
     }
     for (const machine of here) {
       if (left === 0) return;
-      if (machine.lowCpus <= 0 || !mayUse(spec, machine)) continue;
-      const some = Math.min(left, howMany(soonRoom(machine), spec));
+      if (!mayUse(spec, machine)) continue;
+      const some = Math.min(left, howMany(soonRoom(machine, makingFor(spec)), spec));
       occupySoon(machine, spec, some);
       left -= some;
     }
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -22,6 +22,9 @@
   /** CPUs and memory of tasks that rank below `high`: what urgent work could take. */
   lowCpus: number;
   lowMemoryGb: number;
+  /** CPUs and memory of arrays: what ends there by itself. */
+  endingCpus: number;
+  endingMemoryGb: number;
 }
 
 /** How far the tasks of a job are handed out. */
@@ -41,6 +44,7 @@
 interface Entry {
   chunk: ChunkSummary;
   low: boolean;
+  array: boolean;
   /** CPUs that end in a second. */
   ending: number;
 }
@@ -149,6 +153,7 @@
     const entry: Entry = {
       chunk,
       low: spec === null || rankOf(spec.priority) < URGENT,
+      array: spec?.kind === 'array',
       ending: ends ? (chunk.liveCount * chunk.cpus) / Math.max(1, spec.estimateS) : 0,
     };
     this.entries.set(key, entry);
@@ -158,7 +163,7 @@
     if (spec && done >= endsAt(spec)) this.ripe.add(chunk.job);
   }
 
-  private count({ chunk, low, ending }: Entry, sign: 1 | -1): void {
+  private count({ chunk, low, array, ending }: Entry, sign: 1 | -1): void {
     let use = this.teams.get(chunk.team);
     if (!use) this.teams.set(chunk.team, (use = { cpus: 0, gpus: 0 }));
     use.cpus += sign * chunk.active * chunk.cpus;
@@ -176,7 +181,16 @@
     for (const name of chunk.on) {
       let placed = this.machines.get(name);
       if (!placed) {
-        placed = { cpus: 0, gpus: 0, memoryGb: 0, tasks: 0, lowCpus: 0, lowMemoryGb: 0 };
+        placed = {
+          cpus: 0,
+          gpus: 0,
+          memoryGb: 0,
+          tasks: 0,
+          lowCpus: 0,
+          lowMemoryGb: 0,
+          endingCpus: 0,
+          endingMemoryGb: 0,
+        };
         this.machines.set(name, placed);
       }
       placed.cpus += sign * chunk.cpus;
@@ -187,6 +201,10 @@
         placed.lowCpus += sign * chunk.cpus;
         placed.lowMemoryGb += sign * chunk.memoryGb;
       }
+      if (array) {
+        placed.endingCpus += sign * chunk.cpus;
+        placed.endingMemoryGb += sign * chunk.memoryGb;
+      }
       if (placed.tasks === 0) this.machines.delete(name);
     }
   }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -227,6 +227,16 @@
         };
       }
     }
+    // A node that is short of writes, mostly the leader's, has a peer commit: what it may write goes
+    // to decisions first, and a submission would wait behind them.
+    if (ask === 'submit' && this.gate.supply === 'short') {
+      const [peer] = this.outside.peersThere();
+      const reply = peer === undefined ? null : await this.relay(peer, ask, about, text ?? '');
+      if (reply) return reply.status < 429 ? reply : { ...reply, retryAfterS: RETRY_AFTER_S };
+      if (peer !== undefined) {
+        return { status: 503, body: { error: 'no answer in time' }, retryAfterS: RETRY_AFTER_S };
+      }
+    }
     return this.serveHere(ask, about, text);
   }
 
--- a/src/coordination/rooms.ts
+++ b/src/coordination/rooms.ts
@@ -1,5 +1,6 @@
 import type { MachineHealth } from '../bookkeeping/records.js';
-import type { JobSpec } from '../protocol/terms.js';
+import { rankOf, type JobSpec } from '../protocol/terms.js';
+import { URGENT } from './ledger.js';
 
 /** What a task takes, or a machine has left. */
 export interface Amounts {
@@ -24,6 +25,9 @@
   /** CPUs and memory of tasks that rank below `high`: what urgent work could take. */
   lowCpus: number;
   lowMemoryGb: number;
+  /** CPUs and memory of arrays: what ends there by itself. */
+  endingCpus: number;
+  endingMemoryGb: number;
 }
 
 /** Tasks of a job for which no room was found. */
@@ -71,24 +75,34 @@
   );
 }
 
-/** The room that a machine has once lower work there has been stopped, or has ended. */
-export function soonRoom(machine: Slotted): Amounts {
+/** What makes room on a machine: urgent work stops lower work, other work waits for arrays to end. */
+export type Making = 'stopping' | 'ending';
+
+export const makingFor = (spec: JobSpec): Making =>
+  rankOf(spec.priority) >= URGENT ? 'stopping' : 'ending';
+
+/** The room that a machine has once other work has made some. */
+export function soonRoom(machine: Slotted, making: Making): Amounts {
+  const stopping = making === 'stopping';
   return {
-    cpus: machine.cpus + machine.lowCpus,
+    cpus: machine.cpus + (stopping ? machine.lowCpus : machine.endingCpus),
     gpus: machine.gpus,
-    memoryGb: machine.memoryGb + machine.lowMemoryGb,
+    memoryGb: machine.memoryGb + (stopping ? machine.lowMemoryGb : machine.endingMemoryGb),
   };
 }
 
-/** Takes the room of so many tasks, of lower work what is not free. */
+/** Takes the room of so many tasks, of other work what is not free. */
 export function occupySoon(machine: Slotted, spec: JobSpec, count: number): void {
   const taken = need(spec, count);
-  const free = { cpus: Math.max(0, machine.cpus), memoryGb: Math.max(0, machine.memoryGb) };
+  const cpus = Math.max(0, taken.cpus - Math.max(0, machine.cpus));
+  const memoryGb = Math.max(0, taken.memoryGb - Math.max(0, machine.memoryGb));
   occupy(machine, spec, count);
-  machine.lowCpus -= Math.max(0, taken.cpus - free.cpus);
-  machine.lowMemoryGb -= Math.max(0, taken.memoryGb - free.memoryGb);
-  machine.cpus = Math.max(machine.cpus, 0);
-  machine.memoryGb = Math.max(machine.memoryGb, 0);
+  machine.cpus += cpus;
+  machine.memoryGb += memoryGb;
+  machine.lowCpus -= cpus;
+  machine.lowMemoryGb -= memoryGb;
+  machine.endingCpus -= cpus;
+  machine.endingMemoryGb -= memoryGb;
 }
 
 /** Takes the room of so many tasks of a job from a machine. */
