--- a/src/constants.ts
+++ b/src/constants.ts
@@ -201,6 +201,11 @@
  * Its first retry follows as soon as its old attempt is proven ended. */
 export const GANG_RETRY_MS = 250;
 export const GANG_RETRY_MOST_MS = 20_000;
+/** ms; for the largest gangs that came within this time the fleet keeps room: they can't begin in the
+ * room of several small jobs here and there, and a boot takes longer than they may wait. */
+export const GANGS_MS = 150_000;
+/** Share of what arrays take that counts as room for a gang: it is not free at once, nor all of it. */
+export const GANG_ENDING_SHARE = 0.5;
 /** ms; a gang waits so long before room is kept for it: most find theirs at once. */
 export const GANG_KEEP_FROM_MS = 2_000;
 /** ms; room is kept so long, two boots, and then for as long not. */
--- a/src/coordination/fleet.ts
+++ b/src/coordination/fleet.ts
@@ -33,6 +33,7 @@
 import { Backoff } from '../transport/backoff.js';
 import { Budget } from '../transport/budget.js';
 import type { Clock } from '../transport/clock.js';
+import { lacking } from './gangs.js';
 import { howMany, mayUse, type Picture, type Slotted, type Unmet } from './rooms.js';
 import type { Tenure } from './tenure.js';
 
@@ -269,6 +270,8 @@
     for (const one of picture.machines) {
       if (one.health === 'ok' && !one.spot) headroom += Math.max(0, one.cpus);
     }
+    const forGangs = picture.gangs.reduce((sum, one) => sum + one.tasks * one.cpus, 0);
+    const kept = Math.max(this.options.headroomCpus, forGangs);
     const drain: Slotted[] = [];
     let spare = -this.neededCpus(picture);
     for (const one of picture.machines) {
@@ -291,7 +294,7 @@
       const keep = Math.min(IDLE_KEEP_MOST, dearest / Math.max(1e-9, this.cpuPrice(machine)));
       if (now - since < this.options.idleMs * keep) continue;
       const loss = machine.spot ? 0 : Math.max(0, machine.cpus);
-      if (headroom - loss < this.options.headroomCpus && loss > 0) continue;
+      if (headroom - loss < kept && loss > 0) continue;
       if (spare < machine.cpus) continue;
       spare -= machine.cpus;
       headroom -= loss;
@@ -362,7 +365,7 @@
     const offers = this.offers();
     const wants = new Map<string, { offer: Offer; count: number; rooms: Room[] }>();
     let size = picture.machines.length;
-    for (const { spec, count } of this.beyondFleet(picture, booting)) {
+    const add = ({ spec, count }: { spec: JobSpec; count: number }): void => {
       let left = count;
       const fill = (rooms: Room[]): void => {
         for (const room of rooms) {
@@ -395,7 +398,11 @@
         want.rooms.push(room);
         fill([room]);
       }
-    }
+    };
+    for (const one of this.beyondFleet(picture, booting)) add(one);
+    // What waits takes its room first; gangs like the last ones should find some beside it.
+    const there = picture.machines.filter((one) => one.health === 'ok');
+    for (const one of lacking(picture.gangs, [...there, ...booting])) add(one);
     this.addHeadroom(picture, booting, offers, wants);
     return [...wants.values()].map(({ offer, count }) => ({ offer, count }));
   }
--- a/src/coordination/gangs.ts
+++ b/src/coordination/gangs.ts
@@ -1,6 +1,7 @@
 import {
   ATTEMPT_PARTS,
   ATTEMPT_STEP,
+  GANG_ENDING_SHARE,
   GANG_KEEP_FOR_MS,
   GANG_KEEP_FROM_MS,
   GANG_RETRY_MS,
@@ -8,7 +9,7 @@
 } from '../constants.js';
 import type { JobSpec } from '../protocol/terms.js';
 import { placeOf } from './ledger.js';
-import { howMany, makingFor, mayUse, soonRoom, type Slotted } from './rooms.js';
+import { howMany, makingFor, mayUse, occupySoon, soonRoom, type Slotted } from './rooms.js';
 
 /** Tasks of a gang for one part. */
 export interface Share {
@@ -104,6 +105,41 @@
   };
 }
 
+/**
+ * Where gangs like these would lack room if they came now, one after the other: with the zone where
+ * they lack the least. Only part of what would make room counts, since it does so one by one.
+ */
+export function lacking(
+  gangs: readonly JobSpec[],
+  machines: readonly Slotted[],
+): { spec: JobSpec; count: number }[] {
+  const rooms = machines.filter((one) => !one.spot).map((one) => ({ ...one }));
+  const found: { spec: JobSpec; count: number }[] = [];
+  for (const spec of [...gangs].sort((a, b) => b.tasks * b.cpus - a.tasks * a.cpus)) {
+    const zones = new Map<string, number>();
+    for (const room of rooms) {
+      if (!mayUse(spec, room)) continue;
+      const now = howMany(room, spec);
+      const later = howMany(soonRoom(room, makingFor(spec)), spec) - now;
+      zones.set(room.zone, (zones.get(room.zone) ?? 0) + now + later * GANG_ENDING_SHARE);
+    }
+    const [best] = [...zones].sort((a, b) => b[1] - a[1]);
+    const zone = best?.[0] ?? spec.zone;
+    let left = spec.tasks;
+    for (const soon of [false, true]) {
+      for (const room of rooms) {
+        if (left <= 0 || room.zone !== zone || !mayUse(spec, room)) continue;
+        const all = howMany(soon ? soonRoom(room, makingFor(spec)) : room, spec);
+        const count = Math.min(left, soon ? Math.floor(all * GANG_ENDING_SHARE) : all);
+        occupySoon(room, spec, count);
+        left -= count;
+      }
+    }
+    if (left > 0) found.push({ spec: { ...spec, zone }, count: left });
+  }
+  return found;
+}
+
 /** What the leader remembers of gangs: their attempts, and how long they wait. */
 export class Gangs {
   private count = 0;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -79,7 +79,7 @@
   private busy = false;
   /** ms that the last round took, its waiting for the state service aside. */
   costMs = 0;
-  picture: Picture = { machines: [], unmet: [], comingCpus: 0, coming: null };
+  picture: Picture = { machines: [], unmet: [], comingCpus: 0, coming: null, gangs: [] };
 
   constructor(
     private readonly options: LeaderOptions,
@@ -232,6 +232,7 @@
       unmet,
       comingCpus: this.arrivals.cpus,
       coming: this.arrivals.last,
+      gangs: this.arrivals.gangs,
     };
     this.costMs = this.clock.now() - startedAt;
     const parts = new Set<string>();
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -1,4 +1,4 @@
-import { ARRIVALS_MS, LEDGER_REBUILD_MS } from '../constants.js';
+import { ARRIVALS_MS, GANGS_MS, LEDGER_REBUILD_MS } from '../constants.js';
 import { CHUNKS, JOBS } from '../bookkeeping/keys.js';
 import type { ChunkSummary } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
@@ -53,6 +53,7 @@
 export class Arrivals {
   private readonly known = new Set<string>();
   private readonly late: { at: number; work: number }[] = [];
+  private readonly lateGangs: { at: number; spec: JobSpec }[] = [];
   private readonly from: number;
   /** The kind of task that came last. */
   last: JobSpec | null = null;
@@ -74,12 +75,26 @@
     }
     if (this.known.has(job)) return;
     this.known.add(job);
+    if (spec.kind === 'gang') this.lateGangs.push({ at: this.clock.now(), spec });
     if (spec.kind !== 'array' || rankOf(spec.priority) >= URGENT) return;
     this.last = spec;
     const work = spec.tasks * spec.cpus * Math.max(1, spec.estimateS);
     this.late.push({ at: this.clock.now(), work });
   }
 
+  /** The largest gang of each class that came lately: the next may be like it. */
+  get gangs(): JobSpec[] {
+    const now = this.clock.now();
+    while (this.lateGangs[0] && now - this.lateGangs[0].at > GANGS_MS) this.lateGangs.shift();
+    const largest = new Map<string, JobSpec>();
+    for (const { spec } of this.lateGangs) {
+      const known = largest.get(spec.class);
+      if (!known || known.tasks * known.cpus < spec.tasks * spec.cpus)
+        largest.set(spec.class, spec);
+    }
+    return [...largest.values()];
+  }
+
   /** CPUs that run all the time if it goes on like this. */
   get cpus(): number {
     const now = this.clock.now();
--- a/src/coordination/rooms.ts
+++ b/src/coordination/rooms.ts
@@ -44,6 +44,8 @@
   /** CPUs that lower work takes if it goes on coming as lately, and its last kind of task. */
   comingCpus: number;
   coming: JobSpec | null;
+  /** The largest gang of each class that came lately. */
+  gangs: JobSpec[];
 }
 
 export const need = (spec: Amounts, times: number): Amounts => ({
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -77,7 +77,7 @@
     () => 0.5,
   );
   for (let turn = 0; turn < 20; turn++) {
-    void fleet.round({ machines: [], unmet: [], comingCpus: 0, coming: null });
+    void fleet.round({ machines: [], unmet: [], comingCpus: 0, coming: null, gangs: [] });
     await clock.run(clock.now() + 500);
   }
   assert.deepEqual(
