--- a/src/constants.ts
+++ b/src/constants.ts
@@ -210,11 +210,15 @@
 export const GANG_KEEP_FROM_MS = 2_000;
 /** ms; room is kept so long, two boots, and then for as long not. */
 export const GANG_KEEP_FOR_MS = 60_000;
+/** Times its size for which a part keeps room that is to fall free for a gang: of twice as many tasks
+ * half end in half the time that all of them take. */
+export const GANG_KEEP_TIMES = 2;
 /** ms; a part keeps room for a gang that does not fit yet for so long before it gives it back: what
  * runs there ends within the run time of a short task or two. */
 export const GANG_HOLD_MS = 20_000;
-/** ms; placed and waiting for the other parts of its gang so long, a part gives its share back. */
-export const GANG_RESERVE_MS = 12_000;
+/** ms; placed and waiting for the other parts of its gang so long, a part gives its share back: they
+ * have had their time to find room. */
+export const GANG_RESERVE_MS = 25_000;
 
 // --- Placement -------------------------------------------------------------------------------
 
--- a/src/coordination/gang-placing.ts
+++ b/src/coordination/gang-placing.ts
@@ -1,3 +1,4 @@
+import { GANG_KEEP_TIMES } from '../constants.js';
 import { rankOf, type JobSpec } from '../protocol/terms.js';
 import { fits, take, type Machine, type Room } from './machines.js';
 import { howMany } from './rooms.js';
@@ -113,8 +114,8 @@
     return { places, victims };
   }
 
-  /** Keeps room that falls free where the gang will fit once arrays there have ended. */
-  keep(chunk: Chunk, open: readonly Place[]): void {
+  /** Keeps room where the gang will fit once arrays there have ended; false: nowhere. */
+  keep(chunk: Chunk, open: readonly Place[]): boolean {
     const rooms = open.map((place) => {
       const later = { ...place.room };
       for (const [, other] of this.tasks.on(place.machine.name)) {
@@ -127,15 +128,18 @@
       };
     });
     rooms.sort((a, b) => b.now - a.now || b.later - a.later);
+    // More than it needs, since it waits for what ends first, not for all that runs there now.
     const kept: Place[] = [];
-    let left = chunk.waiting.size;
+    let room = 0;
     for (const { place, later } of rooms) {
-      if (left <= 0) break;
+      if (room >= chunk.waiting.size * GANG_KEEP_TIMES) break;
       if (later === 0) continue;
       kept.push(place);
-      left -= later;
+      room += later;
     }
     // Where it will not fit in any case, it holds up nobody.
-    if (left <= 0) for (const place of kept) place.kept = true;
+    if (room < chunk.waiting.size) return false;
+    for (const place of kept) place.kept = true;
+    return true;
   }
 }
--- a/src/coordination/gang-share.ts
+++ b/src/coordination/gang-share.ts
@@ -84,7 +84,8 @@
   }
 
   private release(chunk: Chunk, spec: JobSpec, now: number): void {
-    const patience = rankOf(spec.priority) >= URGENT ? RELEASE_MS : GANG_HOLD_MS;
+    const urgent = rankOf(spec.priority) >= URGENT;
+    const patience = urgent || chunk.hopeless ? RELEASE_MS : GANG_HOLD_MS;
     const [first] = chunk.waiting;
     if (first && now - first.pendingSince >= patience) this.giveBack(chunk);
   }
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -82,7 +82,7 @@
         if (chunk.broken || chunk.placed > 0) continue;
         if (!this.placeGang(spec, chunk, open, load, stopped)) {
           short = true;
-          this.gangs.keep(chunk, open);
+          chunk.hopeless = !this.gangs.keep(chunk, open);
         }
         continue;
       }
--- a/src/coordination/tasks.ts
+++ b/src/coordination/tasks.ts
@@ -34,6 +34,8 @@
   placed: number;
   /** Of a gang: its attempt failed, so that all of it ends and goes back to the leader. */
   broken: boolean;
+  /** Of a gang: there is no room to come here for it. */
+  hopeless: boolean;
   /** Of a gang: steady time since which all of its tasks here are placed; null: they are not. */
   placedAt: number | null;
   /** As last committed. */
@@ -99,6 +101,7 @@
       waiting: new Set(),
       placed: 0,
       broken: false,
+      hopeless: false,
       placedAt: null,
       dirtySince: null,
     };
