--- a/src/constants.ts
+++ b/src/constants.ts
@@ -210,6 +210,11 @@
 export const GANG_KEEP_FROM_MS = 2_000;
 /** ms; room is kept so long, two boots, and then for as long not. */
 export const GANG_KEEP_FOR_MS = 60_000;
+/** ms; an array of which nothing runs so long after it came may use the room that is kept free for
+ * gangs: nobody waits long in front of a free machine. */
+export const KEPT_FROM_MS = 40_000;
+/** ms; a part looks this often whether it is the one that keeps room free for the next gang. */
+export const GANG_KEEPER_MS = 3_000;
 /** Times its size for which a part keeps room that is to fall free for a gang: of twice as many tasks
  * half end in half the time that all of them take. */
 export const GANG_KEEP_TIMES = 2;
--- a/src/coordination/gang-placing.ts
+++ b/src/coordination/gang-placing.ts
@@ -11,6 +11,8 @@
   empty: boolean;
   /** Its room is kept for a gang that does not fit yet. */
   kept: boolean;
+  /** Its room is kept from arrays for the next gang. */
+  noArrays: boolean;
 }
 
 export type Victim = [Slot, Chunk];
@@ -114,19 +116,32 @@
     return { places, victims };
   }
 
-  /** Keeps room where the gang will fit once arrays there have ended; false: nowhere. */
-  keep(chunk: Chunk, open: readonly Place[]): boolean {
-    const rooms = open.map((place) => {
+  /** Keeps room from arrays for the next gang of this kind. */
+  keepFree(spec: JobSpec, places: readonly Place[]): void {
+    const rooms = this.roomsFor(spec, places).sort((a, b) => b.now - a.now || b.later - a.later);
+    let room = 0;
+    for (const { place, later } of rooms) {
+      if (room >= spec.tasks) return;
+      if (later === 0) continue;
+      place.noArrays = true;
+      room += later;
+    }
+  }
+
+  /** How many such tasks fit now, and once the arrays there have ended. */
+  private roomsFor(task: Room, places: readonly Place[]) {
+    return places.map((place) => {
       const later = { ...place.room };
       for (const [, other] of this.tasks.on(place.machine.name)) {
         if (this.job(other.job)?.spec.kind === 'array') take(later, other.record, -1);
       }
-      return {
-        place,
-        now: howMany(place.room, chunk.record),
-        later: howMany(later, chunk.record),
-      };
+      return { place, now: howMany(place.room, task), later: howMany(later, task) };
     });
+  }
+
+  /** Keeps room where the gang will fit once arrays there have ended; false: nowhere. */
+  keep(chunk: Chunk, open: readonly Place[]): boolean {
+    const rooms = this.roomsFor(chunk.record, open);
     rooms.sort((a, b) => b.now - a.now || b.later - a.later);
     // More than it needs, since it waits for what ends first, not for all that runs there now.
     const kept: Place[] = [];
--- a/src/coordination/gang-share.ts
+++ b/src/coordination/gang-share.ts
@@ -3,7 +3,7 @@
 import type { View } from '../bookkeeping/view.js';
 import { rankOf, type JobSpec } from '../protocol/terms.js';
 import type { Clock } from '../transport/clock.js';
-import { URGENT } from './ledger.js';
+import { URGENT } from './terms.js';
 import type { Chunk, Tasks } from './tasks.js';
 
 /**
--- a/src/coordination/gangs.ts
+++ b/src/coordination/gangs.ts
@@ -6,9 +6,11 @@
   GANG_KEEP_FROM_MS,
   GANG_RETRY_MS,
   GANG_RETRY_MOST_MS,
+  GANGS_MS,
 } from '../constants.js';
-import type { JobSpec } from '../protocol/terms.js';
-import { placeOf } from './ledger.js';
+import { rankOf, type JobSpec } from '../protocol/terms.js';
+import type { Clock } from '../transport/clock.js';
+import { URGENT, placeOf } from './terms.js';
 import { howMany, makingFor, mayUse, occupySoon, soonRoom, type Slotted } from './rooms.js';
 
 /** Tasks of a gang for one part. */
@@ -140,6 +142,86 @@
   return found;
 }
 
+/** The gangs that came lately, as a leader or a part hears of them. */
+export class LateGangs {
+  private readonly late: { at: number; spec: JobSpec }[] = [];
+
+  constructor(private readonly clock: Clock) {}
+
+  add(spec: JobSpec): void {
+    this.late.push({ at: this.clock.now(), spec });
+  }
+
+  /** The largest of each class: the next may be like it. */
+  get largest(): JobSpec[] {
+    const now = this.clock.now();
+    while (this.late[0] && now - this.late[0].at > GANGS_MS) this.late.shift();
+    const largest = new Map<string, JobSpec>();
+    for (const { spec } of this.late) {
+      const known = largest.get(spec.class);
+      if (!known || known.tasks * known.cpus < spec.tasks * spec.cpus)
+        largest.set(spec.class, spec);
+    }
+    return [...largest.values()];
+  }
+
+  /** The largest that can't stop other work to make room: for one like it some is kept free. */
+  get patient(): JobSpec | null {
+    return this.largest
+      .filter((spec) => rankOf(spec.priority) < URGENT)
+      .reduce<JobSpec | null>(
+        (best, spec) => (best && best.tasks * best.cpus >= spec.tasks * spec.cpus ? best : spec),
+        null,
+      );
+  }
+}
+
+/**
+ * The one place that keeps free room for such a gang: where most ordinary machines are that it may
+ * use. Leader and parts reckon it alike, and if they differ for a moment, arrays wait a little.
+ */
+export function keeper(
+  spec: JobSpec,
+  machines: Iterable<{ part: string; type: string; zone: string; spot: boolean }>,
+): string | null {
+  const counts = new Map<string, number>();
+  for (const machine of machines) {
+    if (machine.spot || !mayUse(spec, machine)) continue;
+    const place = placeOf(machine.part, machine.zone);
+    counts.set(place, (counts.get(place) ?? 0) + 1);
+  }
+  let best: string | null = null;
+  let most = 0;
+  for (const [place, count] of counts) {
+    if (count < most || (count === most && best !== null && place > best)) continue;
+    best = place;
+    most = count;
+  }
+  return best;
+}
+
+/** Machines whose room is kept from arrays for a gang like this one. */
+export function keptFor(spec: JobSpec, machines: readonly Slotted[]): Set<string> {
+  const place = keeper(spec, machines);
+  const rooms = machines
+    .filter((one) => !one.spot && placeOf(one.part, one.zone) === place && mayUse(spec, one))
+    .map(({ name, ...one }) => ({
+      name,
+      now: howMany(one, spec),
+      soon: howMany(soonRoom({ name, ...one }, 'ending'), spec),
+    }))
+    .sort((a, b) => b.now - a.now || b.soon - a.soon || (a.name < b.name ? -1 : 1));
+  const kept = new Set<string>();
+  let room = 0;
+  for (const { name, soon } of rooms) {
+    if (room >= spec.tasks) break;
+    if (soon === 0) continue;
+    kept.add(name);
+    room += soon;
+  }
+  return kept;
+}
+
 /** What the leader remembers of gangs: their attempts, and how long they wait. */
 export class Gangs {
   private count = 0;
--- a/src/coordination/inventory.ts
+++ b/src/coordination/inventory.ts
@@ -6,6 +6,18 @@
 import { partOf, type Member } from './rendezvous.js';
 import type { Slotted } from './rooms.js';
 
+/** The machines that the parts call good. */
+export function* machinesOf(
+  view: View,
+): Generator<{ part: string; type: string; zone: string; spot: boolean }> {
+  for (const [key, held] of view.below<StatusRecord>(STATUSES)) {
+    const part = key.slice(STATUSES.length).split('/')[0] ?? '';
+    for (const [type, zone, spot, health] of Object.values(held.value.machines)) {
+      if (health === 'ok') yield { part, type, zone, spot: spot === 1 };
+    }
+  }
+}
+
 /** The machines as the leader counts them, with the room that is left on each. */
 export class Inventory {
   /** The part of each machine: hashing it anew for the whole fleet each round costs too much. */
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -2,6 +2,7 @@
   ASSIGN_PACE_MS,
   BEGIN_SHARE,
   CHUNK_TASK_BYTES,
+  KEPT_FROM_MS,
   LATE_ROOM,
   QUEUE_REFILL,
   QUEUE_S,
@@ -20,8 +21,8 @@
 import { rankOf, type JobSpec } from '../protocol/terms.js';
 import type { Team } from '../protocol/settings.js';
 import type { Clock } from '../transport/clock.js';
-import { Gangs, planGang } from './gangs.js';
-import { Arrivals, Ledger, URGENT, endsAt, placeOf, type Usage } from './ledger.js';
+import { Gangs, keptFor, planGang } from './gangs.js';
+import { Arrivals, Ledger, endsAt, type Usage } from './ledger.js';
 import { Inventory } from './inventory.js';
 import { inTurn, type Open } from './order.js';
 import type { Member } from './rendezvous.js';
@@ -38,6 +39,7 @@
   type Unmet,
 } from './rooms.js';
 import type { Tenure } from './tenure.js';
+import { URGENT, placeOf } from './terms.js';
 
 /** What waits in a part beyond its free room, and what its machines finish meanwhile. */
 interface Queue {
@@ -161,8 +163,11 @@
     for (const [team, use] of this.ledger.teams) used.set(team, { ...use });
     const unmet: Unmet[] = [];
     const queues = new Map<string, Queue>();
-    const open = this.openJobs(used, machines, queues, unmet);
     const byPart = [...machines.values()].filter((one) => one.health === 'ok');
+    const patient = this.arrivals.gangs.patient;
+    const kept = patient ? keptFor(patient, byPart) : new Set<string>();
+    const forArrays = byPart.filter((one) => !kept.has(one.name));
+    const open = this.openJobs(used, byPart, kept, queues, unmet);
     const reserved = this.reserves();
     const limited = new Set<string>();
     const changes: { key: string; value: ChunkRecord }[] = [];
@@ -210,7 +215,9 @@
         continue;
       }
       const before = changes.length;
-      const { given, roomless } = this.spreadOut(job, allowed, byPart, queues, changes);
+      const waits = job.live === 0 && this.clock.wall() - job.at > KEPT_FROM_MS;
+      const rooms = job.spec.kind === 'array' && !waits ? forArrays : byPart;
+      const { given, roomless } = this.spreadOut(job, allowed, rooms, queues, changes);
       if (rankOf(job.spec.priority) >= URGENT) {
         for (const { key } of changes.slice(before)) urgentKeys.add(key);
       }
@@ -232,7 +239,7 @@
       unmet,
       comingCpus: this.arrivals.cpus,
       coming: this.arrivals.last,
-      gangs: this.arrivals.gangs,
+      gangs: this.arrivals.gangs.largest,
     };
     this.costMs = this.clock.now() - startedAt;
     const parts = new Set<string>();
@@ -286,13 +293,13 @@
   /** Jobs in the order of their turn; takes room for what is assigned and waits. */
   private openJobs(
     used: Map<string, Usage>,
-    machines: Map<string, Slotted>,
+    usable: readonly Slotted[],
+    kept: ReadonlySet<string>,
     queues: Map<string, Queue>,
     unmet: Unmet[],
   ): Open[] {
     let cpus = 0;
     const groups = new Map<string, Slotted[]>();
-    const usable = [...machines.values()].filter((one) => one.health === 'ok');
     for (const machine of usable) {
       cpus += Math.max(0, machine.cpus) + machine.lowCpus;
       const key = placeOf(machine.part, machine.zone);
@@ -321,6 +328,7 @@
       for (const machine of group) {
         if (waiting === 0) break;
         if (machine.cpus < spec.cpus || !mayUse(spec, machine)) continue;
+        if (spec.kind === 'array' && kept.has(machine.name)) continue;
         const count = Math.min(waiting, howMany(machine, spec));
         occupy(machine, spec, count);
         waiting -= count;
@@ -357,7 +365,7 @@
   private spreadOut(
     job: Open,
     allowed: number,
-    machines: Slotted[],
+    machines: readonly Slotted[],
     queues: Map<string, Queue>,
     changes: { key: string; value: ChunkRecord }[],
   ): { given: number; roomless: number } {
@@ -455,7 +463,7 @@
   private assignGang(
     job: Open,
     used: Map<string, Usage>,
-    machines: Slotted[],
+    machines: readonly Slotted[],
     round: {
       changes: { key: string; value: ChunkRecord }[];
       urgentKeys: Set<string>;
@@ -506,7 +514,7 @@
   }
 
   /** Keeps the free room of a zone for a gang that waits for more of it. */
-  private fillZone(spec: JobSpec, zone: string, machines: Slotted[]): void {
+  private fillZone(spec: JobSpec, zone: string, machines: readonly Slotted[]): void {
     let left = spec.tasks;
     for (const machine of machines) {
       if (left === 0) return;
@@ -543,7 +551,7 @@
     spec: JobSpec,
     room: { part: string; zone: string },
     count: number,
-    machines: Slotted[],
+    machines: readonly Slotted[],
   ): void {
     let left = count;
     const here = machines.filter((one) => one.part === room.part && one.zone === room.zone);
--- a/src/coordination/ledger.ts
+++ b/src/coordination/ledger.ts
@@ -1,12 +1,11 @@
-import { ARRIVALS_MS, GANGS_MS, LEDGER_REBUILD_MS } from '../constants.js';
+import { ARRIVALS_MS, LEDGER_REBUILD_MS } from '../constants.js';
 import { CHUNKS, JOBS } from '../bookkeeping/keys.js';
 import type { ChunkSummary } from '../bookkeeping/records.js';
 import type { View } from '../bookkeeping/view.js';
 import { rankOf, type JobSpec } from '../protocol/terms.js';
 import type { Clock } from '../transport/clock.js';
-
-/** From this rank on work is urgent: it takes room from what ranks below it. */
-export const URGENT = rankOf('high');
+import { LateGangs } from './gangs.js';
+import { URGENT, placeOf } from './terms.js';
 
 export interface Usage {
   cpus: number;
@@ -53,7 +52,7 @@
 export class Arrivals {
   private readonly known = new Set<string>();
   private readonly late: { at: number; work: number }[] = [];
-  private readonly lateGangs: { at: number; spec: JobSpec }[] = [];
+  readonly gangs: LateGangs;
   private readonly from: number;
   /** The kind of task that came last. */
   last: JobSpec | null = null;
@@ -63,6 +62,7 @@
     private readonly clock: Clock,
   ) {
     this.from = clock.now();
+    this.gangs = new LateGangs(clock);
     // What is there already came some time ago: it is not counted, but known.
     for (const { spec } of view.openJobs()) this.known.add(spec.id);
   }
@@ -75,26 +75,13 @@
     }
     if (this.known.has(job)) return;
     this.known.add(job);
-    if (spec.kind === 'gang') this.lateGangs.push({ at: this.clock.now(), spec });
+    if (spec.kind === 'gang') this.gangs.add(spec);
     if (spec.kind !== 'array' || rankOf(spec.priority) >= URGENT) return;
     this.last = spec;
     const work = spec.tasks * spec.cpus * Math.max(1, spec.estimateS);
     this.late.push({ at: this.clock.now(), work });
   }
 
-  /** The largest gang of each class that came lately: the next may be like it. */
-  get gangs(): JobSpec[] {
-    const now = this.clock.now();
-    while (this.lateGangs[0] && now - this.lateGangs[0].at > GANGS_MS) this.lateGangs.shift();
-    const largest = new Map<string, JobSpec>();
-    for (const { spec } of this.lateGangs) {
-      const known = largest.get(spec.class);
-      if (!known || known.tasks * known.cpus < spec.tasks * spec.cpus)
-        largest.set(spec.class, spec);
-    }
-    return [...largest.values()];
-  }
-
   /** CPUs that run all the time if it goes on like this. */
   get cpus(): number {
     const now = this.clock.now();
@@ -105,9 +92,6 @@
   }
 }
 
-/** Names the machines of a part in one zone. */
-export const placeOf = (part: string, zone: string): string => `${part}\n${zone}`;
-
 /**
  * The leader's sums over all chunks, kept up with each change of one: a round then costs what is
  * open and free, not what runs. They are made anew now and then, since sums of decimals drift.
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -3,6 +3,8 @@
   COMMANDS_MAX,
   FAILURE_PAUSE_MAX_S,
   FAILURE_PAUSE_S,
+  GANG_KEEPER_MS,
+  KEPT_FROM_MS,
   QUEUE_RELEASE_MS,
   RELEASE_MS,
   SWEEP_MS,
@@ -26,10 +28,13 @@
 import type { Clock } from '../transport/clock.js';
 import type { ArmRecord, Bandit } from './bandit.js';
 import { GangShares } from './gang-share.js';
+import { LateGangs, keeper } from './gangs.js';
+import { machinesOf } from './inventory.js';
 import { Machines, fits, take, type Direct, type Machine, type Room } from './machines.js';
 import { Placing } from './placing.js';
 import { Status } from './status.js';
 import { Tasks, type Chunk, type Slot } from './tasks.js';
+import { placeOf } from './terms.js';
 import { ChunkWriter } from './chunk-writer.js';
 
 export interface PartOptions {
@@ -70,6 +75,9 @@
   private readonly tasks: Tasks;
   private readonly gangs: GangShares;
   private readonly writer: ChunkWriter;
+  private readonly late: LateGangs;
+  private keeps: JobSpec | null = null;
+  private keepsAt = -Infinity;
   private bandit: Bandit | null = null;
   private placing: Placing | null = null;
   private readonly failures = new Map<string, { count: number; until: number }>();
@@ -93,6 +101,7 @@
     this.machines = new Machines(options, view, clock);
     this.tasks = new Tasks(options.part, view, clock);
     this.gangs = new GangShares(this.tasks, view, clock, log);
+    this.late = new LateGangs(clock);
     this.writer = new ChunkWriter(
       options,
       {
@@ -120,6 +129,8 @@
   /** A key of the view changed; true: this part may have something to do. */
   changed(key: string): boolean {
     if (key.startsWith(JOBS)) {
+      const spec = this.spec(key.slice(JOBS.length));
+      if (spec?.kind === 'gang') this.late.add(spec);
       let known = false;
       for (const chunk of this.tasks.of(key.slice(JOBS.length))) {
         this.noteEnd(chunk);
@@ -439,6 +450,8 @@
         startWithinS: this.options.startWithinS,
         job: (id) => this.view.job(id),
         beginner: (id) => this.beginner(id),
+        waitsLong: (id) => this.waitsLong(id),
+        nextGang: () => this.nextGang(),
         pauses: (id) => this.pauses(id),
       },
       this.tasks,
@@ -450,6 +463,26 @@
     return this.placing;
   }
 
+  private waitsLong(job: string): boolean {
+    const record = this.view.job(job);
+    if (!record || this.clock.wall() - record.at < KEPT_FROM_MS) return false;
+    return this.view.chunksOf(job).every((chunk) => chunk.liveCount === 0);
+  }
+
+  /** Some room for the next gang is kept free by the part that has most machines for it. */
+  private nextGang(): JobSpec | null {
+    const now = this.clock.now();
+    if (now < this.keepsAt) return this.keeps;
+    this.keepsAt = now + GANG_KEEPER_MS;
+    const next = this.late.patient;
+    if (!next) return (this.keeps = null);
+    const place = keeper(next, machinesOf(this.view));
+    const ours = this.machines
+      .inOrder()
+      .some(({ zone }) => placeOf(this.options.part, zone) === place);
+    return (this.keeps = ours ? next : null);
+  }
+
   private beginner(job: string): boolean {
     const record = this.view.job(job);
     if (!record || this.clock.wall() - record.at < BEGIN_WITHIN_S * 1000) return false;
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -14,6 +14,7 @@
 import type { Bandit } from './bandit.js';
 import { GangPlacing, type Place, type Victim } from './gang-placing.js';
 import { fits, take, type Machine, type Machines } from './machines.js';
+import { mayUse } from './rooms.js';
 import type { Chunk, Slot, Tasks } from './tasks.js';
 
 export interface PlacingOptions {
@@ -25,6 +26,10 @@
   job: (id: string) => { spec: JobSpec; at: number } | null;
   /** Whether a job waited long to begin and none of its tasks has ended yet. */
   beginner: (id: string) => boolean;
+  /** Whether nothing of a job runs long after it came. */
+  waitsLong: (id: string) => boolean;
+  /** The gang for which this part keeps some room free; null: it keeps none. */
+  nextGang: () => JobSpec | null;
   /** Whether a job waits after failures. */
   pauses: (id: string) => boolean;
 }
@@ -73,11 +78,22 @@
         rankOf(b.spec.priority) - rankOf(a.spec.priority) || a.chunk.number - b.chunk.number,
     );
     const places = this.places();
+    const next = this.options.nextGang();
+    if (next) {
+      this.gangs.keepFree(
+        next,
+        places.filter(({ machine }) => !machine.spot && mayUse(next, machine)),
+      );
+    }
     const load = this.load();
     const lowest = this.lowestRank();
     let short = false;
     for (const { chunk, spec } of waiting) {
-      const open = places.filter(({ machine, kept }) => !kept && this.allows(spec, chunk, machine));
+      const yields = next !== null && spec.kind === 'array' && !this.options.waitsLong(chunk.job);
+      const open = places.filter(
+        ({ machine, kept, noArrays }) =>
+          !kept && !(noArrays && yields) && this.allows(spec, chunk, machine),
+      );
       if (chunk.record.attempt !== undefined) {
         if (chunk.broken || chunk.placed > 0) continue;
         if (!this.placeGang(spec, chunk, open, load, stopped)) {
@@ -160,7 +176,7 @@
       const room = this.machines.capacity(machine.type);
       const placed = this.tasks.on(machine.name);
       for (const [slot, chunk] of placed) if (!slot.halting) take(room, chunk.record);
-      places.push({ machine, room, empty: placed.size === 0, kept: false });
+      places.push({ machine, room, empty: placed.size === 0, kept: false, noArrays: false });
     }
     return places;
   }
--- a/src/coordination/rooms.ts
+++ b/src/coordination/rooms.ts
@@ -1,6 +1,6 @@
 import type { MachineHealth } from '../bookkeeping/records.js';
 import { rankOf, type JobSpec } from '../protocol/terms.js';
-import { URGENT } from './ledger.js';
+import { URGENT } from './terms.js';
 
 /** What a task takes, or a machine has left. */
 export interface Amounts {
