--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -4,8 +4,6 @@
   CHUNK_TASK_BYTES,
   KEPT_FROM_MS,
   LATE_ROOM,
-  QUEUE_REFILL,
-  QUEUE_S,
   RESERVE_SHARE,
   STARVED_MS,
   STARVED_SHARE,
@@ -25,6 +23,7 @@
 import { Arrivals, Ledger, endsAt, type Usage } from './ledger.js';
 import { Inventory } from './inventory.js';
 import { inTurn, type Open } from './order.js';
+import { queueRoom, shortQueues, type Queue } from './queues.js';
 import type { Member } from './rendezvous.js';
 import {
   howMany,
@@ -41,15 +40,6 @@
 import type { Tenure } from './tenure.js';
 import { URGENT, placeOf } from './terms.js';
 
-/** What waits in a part beyond its free room, and what its machines finish meanwhile. */
-interface Queue {
-  part: string;
-  zone: string;
-  waitingCpus: number;
-  /** CPUs under lower work that end in a second, by the owners' estimates. */
-  endingCpus: number;
-}
-
 export interface LeaderOptions {
   term: number;
   tenure: Tenure;
@@ -404,10 +394,10 @@
       left -= count;
       changes.push(...this.chunks(spec, room, free.splice(0, count)));
     };
-    const queued: Queue[] = urgent || spec.kind !== 'array' ? [] : this.shortQueues(job, queues);
+    const queued: Queue[] = urgent || spec.kind !== 'array' ? [] : shortQueues(job, queues);
     const zones = this.zoneRooms(job, allowed, [
       ...rooms.values(),
-      ...queued.map((queue) => ({ zone: queue.zone, count: this.queueRoom(job, queue) })),
+      ...queued.map((queue) => ({ zone: queue.zone, count: queueRoom(job, queue) })),
     ]);
     for (const room of [...rooms.values()].sort((a, b) => b.count - a.count)) {
       const count = Math.min(left, room.count, zones.get(room.zone) ?? 0);
@@ -418,7 +408,7 @@
     }
     const inRoom = allowed - left;
     for (const queue of queued) {
-      const count = Math.min(left, this.queueRoom(job, queue), zones.get(queue.zone) ?? 0);
+      const count = Math.min(left, queueRoom(job, queue), zones.get(queue.zone) ?? 0);
       if (count <= 0) continue;
       zones.set(queue.zone, (zones.get(queue.zone) ?? 0) - count);
       give(queue, count);
@@ -483,18 +473,19 @@
     const over =
       use.cpus + whole.cpus > (team?.cpusMax ?? 0) + 1e-9 ||
       use.gpus + whole.gpus > (team?.gpusMax ?? 0) + 1e-9;
-    if (!over || keeps) {
+    const plan = over ? null : planGang(spec, machines);
+    // While it waits its share of the limit is kept too, but not for ever: what is small goes on.
+    if (plan?.shares || keeps) {
       use.cpus += whole.cpus;
       use.gpus += whole.gpus;
     }
-    if (over) {
+    if (!plan) {
       if (!this.limited.has(job.id)) {
         this.log.info({ job: job.id, team: spec.team, use }, 'waits: its team is at its limit');
       }
       round.limited.add(job.id);
       return;
     }
-    const plan = planGang(spec, machines);
     if (!plan.shares) {
       round.unmet.push({ spec: { ...spec, zone: plan.zone }, count: plan.missing, at: job.at });
       if (keeps && plan.zone !== null) this.fillZone(spec, plan.zone, machines);
@@ -525,28 +516,6 @@
     }
   }
 
-  /**
-   * Tasks of a job that a part should get beyond its room: as many as end there in the next
-   * seconds. A job that is overdue does not wait for the queue: the part takes the earliest first.
-   */
-  private queueRoom(job: Open, queue: Queue): number {
-    const waiting = job.overdue ? 0 : queue.waitingCpus;
-    return Math.floor((queue.endingCpus * QUEUE_S - waiting) / job.spec.cpus);
-  }
-
-  /** Parts whose queues are short enough to be filled again: seldom, and then with many tasks. */
-  private shortQueues(job: Open, queues: Map<string, Queue>): Queue[] {
-    const { spec } = job;
-    return [...queues.values()]
-      .filter((queue) => {
-        if (spec.zone !== null && spec.zone !== queue.zone) return false;
-        const room = this.queueRoom(job, queue);
-        if (room <= 0) return false;
-        return job.overdue || queue.waitingCpus <= room * spec.cpus * QUEUE_REFILL;
-      })
-      .sort((a, b) => a.waitingCpus - b.waitingCpus);
-  }
-
   private fillRoom(
     spec: JobSpec,
     room: { part: string; zone: string },
