--- a/src/constants.ts
+++ b/src/constants.ts
@@ -201,6 +201,8 @@
  * Its first retry follows as soon as its old attempt is proven ended. */
 export const GANG_RETRY_MS = 250;
 export const GANG_RETRY_MOST_MS = 20_000;
+/** Images of gangs of which the leader remembers where they were last. */
+export const GANG_IMAGES = 500;
 /** ms; for the largest gangs that came within this time the fleet keeps room: they can't begin in the
  * room of several small jobs here and there, and a boot takes longer than they may wait. */
 export const GANGS_MS = 150_000;
--- a/src/coordination/gangs.ts
+++ b/src/coordination/gangs.ts
@@ -2,6 +2,7 @@
   ATTEMPT_PARTS,
   ATTEMPT_STEP,
   GANG_ENDING_SHARE,
+  GANG_IMAGES,
   GANG_KEEP_FOR_MS,
   GANG_KEEP_FROM_MS,
   GANG_RETRY_MS,
@@ -62,7 +63,12 @@
  * One part that has the room is best: it commits all placements at once. Several parts reserve
  * theirs, and start when all have. By real fit on each machine, not by totals.
  */
-export function planGang(spec: JobSpec, machines: readonly Slotted[]): GangPlan {
+export function planGang(
+  spec: JobSpec,
+  machines: readonly Slotted[],
+  /** The place that had a gang with this image last. */
+  known: string | null = null,
+): GangPlan {
   const places = new Map<string, Place>();
   for (const machine of machines) {
     if (!mayUse(spec, machine)) continue;
@@ -83,10 +89,13 @@
     group.reduce((total, place) => total + place[when], 0);
   for (const when of ['now', 'soon'] as const) {
     if (!spec.spread || spec.tasks === 1) {
-      const best = all.reduce<Place | null>(
+      const most = all.reduce<Place | null>(
         (found, place) => (found === null || place[when] > found[when] ? place : found),
         null,
       );
+      // A gang starts with its last fetch: machines that hold the image spare it the whole wait.
+      const same = known === null ? undefined : places.get(known);
+      const best = same && same[when] >= spec.tasks ? same : most;
       if (best && best[when] >= spec.tasks) {
         return { shares: [{ part: best.part, zone: best.zone, count: spec.tasks }], when };
       }
@@ -227,6 +236,8 @@
   private count = 0;
   private readonly tries = new Map<string, { count: number; at: number }>();
   private readonly waits = new Map<string, number>();
+  /** Where a gang with an image was last, in the order of use. */
+  private readonly images = new Map<string, string>();
 
   constructor(private readonly term: number) {}
 
@@ -237,6 +248,17 @@
     return (this.term * ATTEMPT_PARTS + ATTEMPT_PARTS - 1) * ATTEMPT_STEP + ++this.count;
   }
 
+  placeOf(image: string): string | null {
+    return this.images.get(image) ?? null;
+  }
+
+  placed(image: string, share: Share): void {
+    this.images.delete(image);
+    this.images.set(image, placeOf(share.part, share.zone));
+    const oldest = this.images.keys().next();
+    if (this.images.size > GANG_IMAGES && !oldest.done) this.images.delete(oldest.value);
+  }
+
   /** A gang that came back again and again waits longer each time. */
   mayTry(job: string, now: number): boolean {
     const { count, at } = this.tries.get(job) ?? { count: 0, at: -Infinity };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -473,7 +473,8 @@
     const over =
       use.cpus + whole.cpus > (team?.cpusMax ?? 0) + 1e-9 ||
       use.gpus + whole.gpus > (team?.gpusMax ?? 0) + 1e-9;
-    const plan = over ? null : planGang(spec, machines);
+    const known = this.gangs.placeOf(spec.image);
+    const plan = over ? null : planGang(spec, machines, known);
     // While it waits its share of the limit is kept too, but not for ever: what is small goes on.
     if (plan?.shares || keeps) {
       use.cpus += whole.cpus;
@@ -492,6 +493,8 @@
       return;
     }
     const attempt = this.gangs.attempt(job.id, now);
+    const [largest] = plan.shares;
+    if (largest) this.gangs.placed(spec.image, largest);
     let first = 0;
     for (const share of plan.shares) {
       const ids = Array.from({ length: share.count }, (_, at) => first + at);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -521,6 +521,53 @@
       for (const name of names(world)) world.boot(name);
     },
   },
+  {
+    name: 'a job of three tasks, one after the other, over two changes of leader',
+    zones: ['a'],
+    script: async (world) => {
+      world.capacity = 0;
+      await submit(world, 'j-000001', { tasks: 3, cpus: 4, runS: 25 });
+      await world.run(15);
+      await change(world, 9);
+      await world.run(30);
+      await change(world, 0.3);
+      await world.run(30);
+    },
+  },
+  {
+    name: 'the state service answers slowly, then refuses the leader, while users cancel and ask',
+    script: async (world) => {
+      await load(world);
+      world.state.answerMs = 1200;
+      for (const id of ['j-000001', 'j-000002']) {
+        await cancel(world, id, names(world));
+        for (const node of names(world)) {
+          const reply = await settled(world, world.poll(id, node));
+          assert.ok(reply.status === 503 || stageOf(reply) === 'withdrawn', JSON.stringify(reply));
+        }
+      }
+      world.state.refused.add(world.leader);
+      await cancel(world, 'j-000003', names(world));
+      await world.run(4);
+      await outage(world, 55);
+      world.state.answerMs = 5;
+      world.state.refused.clear();
+    },
+  },
+  {
+    name: 'more work than room, urgent and not, over slow links',
+    restS: 260,
+    script: async (world) => {
+      world.linkMs = 600;
+      for (let at = 0; at < 8; at++) {
+        const urgent = at % 2 === 0;
+        const job = { tasks: urgent ? 2 : 10, runS: 12, urgent, team: at % 4 < 2 ? 'red' : 'blue' };
+        await submit(world, `j-00000${at}`, job);
+      }
+      await world.run(60);
+      world.linkMs = 1;
+    },
+  },
   {
     name: 'services that fill a limit but for a little, while an array of the team waits',
     script: async (world) => {
--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -45,6 +45,8 @@
   readonly late = new Map<string, number>();
   /** ms after which a transaction is carried out, unanswered; null: at once. */
   hold: (node: string, changes: Change[]) => number | null = () => null;
+  /** ms that an answer takes, watches aside. */
+  answerMs = 5;
   /** This share of all transactions is carried out 2 to 12 s later, unanswered. */
   lateShare = 0;
   private readonly random;
@@ -156,7 +158,7 @@
   api(node: string): StateApi {
     const { clock } = this;
     const served = async (writes = 0): Promise<void> => {
-      await new Promise<void>((resolve) => clock.after(5, resolve));
+      await new Promise<void>((resolve) => clock.after(this.answerMs, resolve));
       if (this.outage || this.refused.has(node)) throw new Refused(503);
       if (!this.withinLimits(writes)) throw new Refused(429);
     };
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -154,11 +154,11 @@
     const answer = new Promise<{ status: number; body: unknown } | null>((resolve) => {
       world.clock.after(4000, () => resolve(null));
       if (!reach || !entry) return;
-      world.clock.after(1 + held, () => {
+      world.clock.after(world.linkMs + held, () => {
         world.at(name, () => {
           void entry.node.report(body).then((reply) => {
             if (!world.cut(name, this.machine.name) && !this.deaf)
-              world.clock.after(1, () => resolve(reply));
+              world.clock.after(world.linkMs, () => resolve(reply));
           });
         });
       });
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -147,6 +147,8 @@
   readonly gangs = new SimGangs(this);
   /** Pairs "x>y" that can't reach each other; x and y are node or machine names. */
   readonly cuts = new Set<string>();
+  /** ms that messages between nodes and workers take each way. */
+  linkMs = 1;
   /** What waits for nodes that stand still. */
   private readonly frozen = new Map<string, (() => void)[]>();
   /** Zone and kind of what the cloud still has; 0 refuses. */
@@ -296,7 +298,7 @@
       const { calls } = encodeDirect(token, session, commands) as { calls: never[] };
       this.clock.after(2000, () => reject(new NoAnswer('timed out')));
       if (cut) return;
-      this.clock.after(1 + held, () => {
+      this.clock.after(this.linkMs + held, () => {
         const reply = worker.command(token, session, calls);
         for (const later of worker.repeatDirectMs) {
           this.clock.after(later, () => worker.command(token, session, calls));
