--- a/test/part.test.ts
+++ b/test/part.test.ts
@@ -233,3 +233,17 @@
   await world.round();
   assert.deepEqual(ops(world.sent.at(-1)?.commands ?? []), ['start']);
 });
+
+// A placement may be committed only while its job is there: a part that has not heard yet of a
+// cancellation started tasks after it had been confirmed.
+test('a job that was called off is not placed, though its part has not heard of it', async () => {
+  const world = await lone();
+  world.report();
+  // Gone from the store, and no watch tells of it.
+  world.state.revision++;
+  world.state.cells.delete(jobKey(JOB));
+  await world.round();
+  assert.deepEqual(world.stored()?.live, {});
+  assert.deepEqual(ops(world.report()), []);
+  assert.equal(world.sent.length, 0);
+});
