--- /dev/null
+++ b/test/gang-share.test.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { chunkKey, jobKey } from '../src/bookkeeping/keys.js';
+import type { ChunkRecord } from '../src/bookkeeping/records.js';
+import type { TaskReport } from '../src/protocol/terms.js';
+import { JOB, SPEC, lone, ops } from './world/lone.js';
+
+type Lone = Awaited<ReturnType<typeof lone>>;
+
+const ATTEMPT = 900;
+const SHARE: ChunkRecord = {
+  ids: '0-1',
+  done: '',
+  live: {},
+  team: 'red',
+  cpus: 1,
+  gpus: 0,
+  memoryGb: 1,
+  zone: 'a',
+  attempt: ATTEMPT,
+};
+
+/** A part with its share of a gang; `other`: the share of another part. */
+async function gang(tasks: number, other?: Partial<ChunkRecord>): Promise<Lone> {
+  const world = await lone({ spec: { kind: 'gang', tasks, checkpointS: 5, saveS: 2 } });
+  world.state.change([{ key: chunkKey('p', JOB, 1), remove: true }]);
+  await world.clock.run(world.clock.now() + 300);
+  world.state.change([
+    { key: chunkKey('p', JOB, 1), value: SHARE },
+    ...(other ? [{ key: chunkKey('q', JOB, 2), value: { ...SHARE, ids: '2-3', ...other } }] : []),
+  ]);
+  await world.clock.run(world.clock.now() + 300);
+  return world;
+}
+
+const shown = (index: number, state: TaskReport['state'] = 'running'): TaskReport => ({
+  task: { job: JOB, index },
+  attempt: ATTEMPT,
+  state,
+  cause: state === 'exited' ? 'peerLost' : null,
+});
+const sent = (world: Lone): string[] => world.sent.flatMap(({ commands }) => ops(commands));
+
+const ROWS: { name: string; check: () => Promise<void> }[] = [
+  {
+    name: 'all tasks are placed under the attempt that the leader gave',
+    check: async () => {
+      const world = await gang(2);
+      world.report();
+      await world.round();
+      const attempts = Object.values(world.stored()?.live ?? {}).map(([, attempt]) => attempt);
+      assert.deepEqual(attempts, [ATTEMPT, ATTEMPT]);
+      assert.deepEqual(sent(world), ['start', 'start']);
+    },
+  },
+  {
+    // Tasks that start early hold their places, and end alone when the rest does not come.
+    name: 'none starts before all are reserved, here and in other parts',
+    check: async () => {
+      const world = await gang(4, {});
+      world.report();
+      await world.round();
+      assert.equal(Object.keys(world.stored()?.live ?? {}).length, 2);
+      assert.deepEqual([...sent(world), ...ops(world.report())], []);
+      const live = { '2': ['m-8', ATTEMPT], '3': ['m-9', ATTEMPT] };
+      world.state.change([{ key: chunkKey('q', JOB, 2), value: { ...SHARE, ids: '2-3', live } }]);
+      await world.round();
+      assert.deepEqual(sent(world), ['start', 'start']);
+    },
+  },
+  {
+    // Under its old attempt a task could run beside what is left of it elsewhere.
+    name: 'when one task ends all end, and the attempt is never placed again',
+    check: async () => {
+      const world = await gang(2);
+      world.report();
+      await world.round();
+      world.report({}, [shown(0), shown(1)]);
+      world.report({}, [shown(0, 'exited'), shown(1)]);
+      await world.round(500);
+      const stops = world
+        .report({}, [shown(0, 'exited'), shown(1)])
+        .filter((command) => command.op === 'stop');
+      assert.deepEqual(
+        stops.map(({ task, graceS }) => [task.index, graceS]),
+        [[1, 2]],
+      );
+      world.report({}, [shown(0, 'exited'), shown(1, 'exited')]);
+      await world.round(6000);
+      assert.equal(world.stored(), undefined, 'goes back to the leader');
+    },
+  },
+  {
+    name: 'what another part stops is stopped here too, with the time to save',
+    check: async () => {
+      const live = { '2': ['m-8', ATTEMPT], '3': ['m-9', ATTEMPT] } as ChunkRecord['live'];
+      const world = await gang(4, { live });
+      world.report();
+      await world.round();
+      world.report({}, [shown(0), shown(1)]);
+      const value = { ...SHARE, ids: '2-3', live, stopping: true };
+      world.state.change([{ key: chunkKey('q', JOB, 2), value }]);
+      await world.round(500);
+      const stops = world.report({}, [shown(0), shown(1)]);
+      assert.deepEqual(ops(stops), ['stop', 'stop']);
+      assert.deepEqual(
+        stops.map(({ graceS }) => graceS),
+        [2, 2],
+      );
+    },
+  },
+  {
+    // Arrays that queue in a part would take each place that falls free, one by one, for ever.
+    name: 'room that falls free is kept for a gang that waits, from arrays behind it',
+    check: async () => {
+      const world = await gang(2);
+      const busy = { ...SPEC, id: 'j-000002', tasks: 3 };
+      const later = { ...SPEC, id: 'j-000003', tasks: 4 };
+      const { attempt, ...plain } = SHARE;
+      assert.equal(attempt, ATTEMPT);
+      world.state.change([{ key: chunkKey('p', JOB, 1), remove: true }]);
+      world.state.change([
+        { key: jobKey(busy.id), value: { spec: busy, at: world.clock.wall() } },
+        { key: jobKey(later.id), value: { spec: later, at: world.clock.wall() } },
+        {
+          key: chunkKey('p', busy.id, 2),
+          value: {
+            ...plain,
+            ids: '0-2',
+            live: { '0': ['m-1', 1], '1': ['m-1', 2], '2': ['m-1', 3] },
+          },
+        },
+        { key: chunkKey('p', JOB, 5), value: SHARE },
+        { key: chunkKey('p', later.id, 6), value: { ...plain, ids: '0-3' } },
+      ]);
+      await world.clock.run(world.clock.now() + 300);
+      const other = (index: number, state: TaskReport['state'] = 'running'): TaskReport => ({
+        task: { job: busy.id, index },
+        attempt: index + 1,
+        state,
+        cause: state === 'exited' ? 'done' : null,
+      });
+      // One place is free: too few for the gang, enough for a task behind it.
+      world.report({}, [other(0), other(1), other(2)]);
+      await world.round();
+      const behind = (): number =>
+        Object.keys((world.state.cells.get(chunkKey('p', later.id, 6))?.value as ChunkRecord).live)
+          .length;
+      assert.equal(behind(), 0);
+      world.report({}, [other(0, 'exited'), other(1), other(2)]);
+      await world.round();
+      const share = world.state.cells.get(chunkKey('p', JOB, 5))?.value as ChunkRecord;
+      assert.equal(Object.keys(share.live).length, 2);
+    },
+  },
+];
+
+for (const { name, check } of ROWS) test(`gang share: ${name}`, check);
--- a/test/hearing.test.ts
+++ b/test/hearing.test.ts
@@ -181,3 +181,36 @@
     await row.check(world);
   });
 }
+
+// Answers to calls renew no lease: a machine that reaches no controller loses its tasks though it
+// answers every call, and what was started there went on being lost.
+test('hearing: a machine whose reports don’t come counts as silent though it answers calls', async () => {
+  const world = await lone();
+  world.report();
+  await world.round();
+  const attempt = world.stored()?.live['0']?.[1] ?? 0;
+  const machine = world.part.machines.all.get('m-1');
+  assert.ok(machine);
+  for (let turn = 0; turn < 5; turn++) {
+    await world.clock.run(world.clock.now() + 3000);
+    machine.provenAt = world.clock.now();
+  }
+  assert.equal(world.part.machines.health(machine), 'silent');
+  // What must end there is told to it all the same.
+  world.sent[0]?.done({
+    machine: 'm-1',
+    address: '10.0.0.1:9',
+    type: 'small',
+    zone: 'a',
+    spot: false,
+    session: 1,
+    seq: 500,
+    token: TOKEN,
+    noticeS: null,
+    tasks: [running(attempt)],
+  });
+  await world.round();
+  await world.cancel();
+  await world.round();
+  assert.deepEqual(ops(world.sent.at(-1)?.commands ?? []), ['stop']);
+});
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -716,3 +716,25 @@
   assert.equal(stageOf(await settled(world, world.poll('j-000001'))), 'done');
   assert.deepEqual(world.broken, []);
 });
+
+// An owner that the state service refuses answers its workers for a grace; the word of the peer that
+// confirmed a cancellation ends the tasks long before.
+test('meeting: what a peer has confirmed stops tasks at once, though the store refuses their owner', async () => {
+  const world = new World(1);
+  for (const zone of ['a', 'a', 'b']) world.addMachine('small', zone, false, 500);
+  await world.run(7);
+  await load(world);
+  for (const node of names(world).slice(1)) world.kill(node);
+  await world.run(12);
+  world.boot('n1');
+  await world.run(1);
+  // n0 owns all parts for a moment, and hears nothing from the store.
+  world.state.refused.add('n0');
+  assert.equal(stageOf(await cancel(world, 'j-000001', ['n1'])), 'withdrawn');
+  await world.run(4);
+  const left = [...world.workers.values()].flatMap((worker) =>
+    [...worker.onMachine()].filter(([name]) => name.startsWith('j-000001/')),
+  );
+  assert.deepEqual(left, []);
+  assert.deepEqual(world.broken, []);
+});
