--- /dev/null
+++ b/test/gang-plan.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { keeper, lacking, planGang } from '../src/coordination/gangs.js';
+import type { Slotted } from '../src/coordination/rooms.js';
+import type { JobSpec } from '../src/protocol/terms.js';
+import { SPEC } from './world/lone.js';
+
+const GANG: JobSpec = { ...SPEC, kind: 'gang', tasks: 2, cpus: 2, memoryGb: 6, oneZone: true };
+
+let count = 0;
+const machine = (part: string, change: Partial<Slotted> = {}): Slotted => ({
+  name: `m-${++count}`,
+  part,
+  type: 'small',
+  zone: 'a',
+  spot: false,
+  health: 'ok',
+  cpus: 4,
+  gpus: 0,
+  memoryGb: 16,
+  tasks: 0,
+  lowCpus: 0,
+  lowMemoryGb: 0,
+  endingCpus: 0,
+  endingMemoryGb: 0,
+  ...change,
+});
+/** Full of small array tasks, by CPUs and by memory. */
+const FULL = {
+  cpus: 0,
+  memoryGb: 2,
+  lowCpus: 4,
+  lowMemoryGb: 14,
+  endingCpus: 4,
+  endingMemoryGb: 14,
+};
+
+test('where a gang goes: one part before several, free room before room to come, else nowhere', () => {
+  const cases: [string, Partial<JobSpec>, Slotted[], string][] = [
+    ['one part has the room', {}, [machine('p'), machine('q', { cpus: 2 })], 'now p:2'],
+    [
+      'two parts have it together',
+      {},
+      [machine('p', { cpus: 2 }), machine('q', { cpus: 2 })],
+      'now p:1 q:1',
+    ],
+    [
+      'in one zone only',
+      {},
+      [machine('p', { cpus: 2 }), machine('q', { cpus: 2, zone: 'b' })],
+      'missing 1',
+    ],
+    [
+      'over both zones',
+      { oneZone: false },
+      [machine('p', { cpus: 2 }), machine('q', { cpus: 2, zone: 'b' })],
+      'now p:1 q:1',
+    ],
+    [
+      'at most half in a zone',
+      { oneZone: false, spread: true },
+      [machine('p'), machine('q', { zone: 'b' })],
+      'now p:1 q:1',
+    ],
+    // CPUs alone counted as room to come, and gangs waited in front of arrays for ever.
+    ['arrays that end, memory too', {}, [machine('p', FULL)], 'soon p:2'],
+    ['CPUs end, memory does not', {}, [machine('p', { ...FULL, endingMemoryGb: 0 })], 'missing 2'],
+    ['an urgent one may stop them', { priority: 'high' }, [machine('p', FULL)], 'soon p:2'],
+    ['no spot machine', {}, [machine('p', { spot: true })], 'missing 2'],
+  ];
+  for (const [name, change, machines, want] of cases) {
+    const plan = planGang({ ...GANG, ...change }, machines);
+    const got = plan.shares
+      ? `${plan.when} ${plan.shares.map((one) => `${one.part}:${one.count}`).join(' ')}`
+      : `missing ${plan.missing}`;
+    assert.equal(got, want, name);
+  }
+});
+
+test('the part with most ordinary machines keeps room, and what lacks is told by zone', () => {
+  const fleet = [machine('p'), machine('q'), machine('q'), machine('r', { spot: true })];
+  assert.equal(keeper(GANG, fleet), 'q\na');
+  assert.deepEqual(lacking([GANG], [machine('p')]), []);
+  const [missing] = lacking(
+    [{ ...GANG, tasks: 5 }],
+    [machine('p'), machine('q', { zone: 'b', cpus: 2 })],
+  );
+  assert.deepEqual([missing?.spec.zone, missing?.count], ['a', 3]);
+});
