Controllers are evenly busy: who leads, and in which zones machines are rented

Now nodes that share their zone take the lead first, and machines are rented where controllers have the fewest.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -57,6 +57,9 @@
 export const CLOUD_BACKOFF_LAST_MS = 8_000;
 /** ms; a node leaves a role to its home member this long after the member came up. */
 export const HOME_SETTLE_MS = 500;
+/** ms; a node that has just started leaves the lead to others that may be starting too, by their
+ * order: two of their turns at the most. */
+export const LEADER_SETTLE_MS = 3_000;
 /** ms; a role that came from another node longer ago, by the time of day, has no former owner that
  * still answers: far longer than any grace, skew and delay of a transaction together. */
 export const MOVED_LONG_MS = 300_000;
--- a/src/coordination/fleet/fleet-context.ts
+++ b/src/coordination/fleet/fleet-context.ts
@@ -9,6 +9,7 @@
 import { Budget } from '../../transport/budget.js';
 import type { Clock } from '../../transport/clock.js';
 import type { GuardedWriter } from '../guarded-writer.js';
+import type { Member } from '../rendezvous.js';
 import type { Headroom } from './headroom.js';
 
 /** Settings of the fleet, and the services that it uses. */
@@ -35,6 +36,8 @@
   readonly spot: boolean;
   /** Upper bound of the number of machines. */
   readonly maxMachines: number;
+  /** The controllers; machines report to those of their zone. */
+  readonly members: readonly Member[];
   readonly replica: StoreReplica;
   readonly cloud: CloudApi;
   readonly clock: Clock;
--- a/src/coordination/fleet/offers.ts
+++ b/src/coordination/fleet/offers.ts
@@ -3,6 +3,7 @@
 import type { JobSpec, MachineType } from '../../protocol/model.js';
 import type { Clock } from '../../transport/clock.js';
 import { fitCount, isEligible } from '../capacity.js';
+import type { Member } from '../rendezvous.js';
 
 /** A machine type in a zone, ordinary or spot, with its price. */
 export interface Offer {
@@ -43,6 +44,28 @@
   return cheapest;
 }
 
+/**
+ * The offers in the order in which equally cheap ones are taken: first those of zones with the fewest
+ * machines for each controller. Machines report to the controllers of their zone, and the busiest
+ * controller is the first to fall behind.
+ */
+export function byControllerLoad(
+  offers: readonly Offer[],
+  machines: readonly { zone: string }[],
+  members: readonly Member[],
+): Offer[] {
+  const countIn = (list: readonly { zone: string }[], zone: string): number =>
+    list.filter((one) => one.zone === zone).length;
+  const loads = new Map<string, number>();
+  for (const { zone } of offers) {
+    if (loads.has(zone)) continue;
+    // The machines of a zone without a controller are spread over all controllers.
+    const controllers = countIn(members, zone) || members.length;
+    loads.set(zone, countIn(machines, zone) / controllers);
+  }
+  return [...offers].sort((a, b) => (loads.get(a.zone) ?? 0) - (loads.get(b.zone) ?? 0));
+}
+
 /** The offers of the catalog, except those for which the cloud had no capacity lately. */
 export class Offers {
   private readonly pausedUntil = new Map<string, number>();
--- a/src/coordination/fleet/renting.ts
+++ b/src/coordination/fleet/renting.ts
@@ -6,7 +6,7 @@
 import { demandBeyondFleet } from './capacity-demand.js';
 import { machineTypes, type FleetContext } from './fleet-context.js';
 import type { MachineRecords } from './machine-records.js';
-import { Offers } from './offers.js';
+import { Offers, byControllerLoad } from './offers.js';
 import { RentalPlan, type Rental } from './rental-plan.js';
 
 /** Plans what to rent in each round and sends the rent requests. */
@@ -55,14 +55,14 @@
 
   /** What to rent: the cheapest offer for each kind of task that booting machines can't hold. */
   private plan(snapshot: FleetSnapshot): Rental[] {
-    const { clock, headroom, maxMachines, replica } = this.context;
+    const { clock, headroom, maxMachines, members, replica } = this.context;
     const types = machineTypes(replica);
     const booting = snapshot.machines
       .filter((machine) => machine.health === 'booting')
       .map((machine) => ({ ...machine }));
     const healthy = snapshot.machines.filter((machine) => machine.health === 'ok');
     const plan = new RentalPlan({
-      offers: this.offers.available(types),
+      offers: byControllerLoad(this.offers.available(types), snapshot.machines, members),
       booting,
       machineCount: snapshot.machines.length,
       maxMachines,
--- a/src/coordination/node/active-roles.ts
+++ b/src/coordination/node/active-roles.ts
@@ -151,7 +151,7 @@
   }
 
   private createFleet(term: number, writer: GuardedWriter): Fleet {
-    const { environment, log, random, replica, settings } = this.services;
+    const { environment, log, members, random, replica, settings } = this.services;
     const { fleet } = settings;
     return new Fleet({
       term,
@@ -165,6 +165,7 @@
       headroomCpus: fleet.headroomCpus,
       spot: fleet.spot,
       maxMachines: fleet.maxMachines,
+      members,
       replica,
       cloud: environment.cloud,
       clock: environment.clock,
--- a/src/coordination/rendezvous.ts
+++ b/src/coordination/rendezvous.ts
@@ -42,3 +42,41 @@
   const names = (local.length > 0 ? local : members).map((member) => member.node);
   return choose(machine, names) ?? '';
 }
+
+/** All names, each the choice among those that are left. */
+function rank(role: string, members: readonly Member[]): string[] {
+  const names = members.map((member) => member.node);
+  const order: string[] = [];
+  for (let next = choose(role, names); next !== null; next = choose(role, names)) {
+    order.push(next);
+    names.splice(names.indexOf(next), 1);
+  }
+  return order;
+}
+
+/** The order in which nodes take a part whose home does not: those of its zone first. */
+export function orderForPart(role: string, home: Member, nodes: readonly Member[]): string[] {
+  const near = nodes.filter((node) => node.zone === home.zone);
+  const far = nodes.filter((node) => node.zone !== home.zone);
+  return [...rank(role, near), ...rank(role, far)];
+}
+
+/**
+ * The order in which nodes take the lead: those that share their zone's machines with the most
+ * others first, since they have the least to do beside it.
+ */
+export function orderForLeader(
+  role: string,
+  nodes: readonly Member[],
+  members: readonly Member[],
+): string[] {
+  const sharing = (node: Member): number =>
+    members.filter((member) => member.zone === node.zone).length;
+  const sizes = [...new Set(nodes.map(sharing))].sort((a, b) => b - a);
+  return sizes.flatMap((size) =>
+    rank(
+      role,
+      nodes.filter((node) => sharing(node) === size),
+    ),
+  );
+}
--- a/src/coordination/roles.ts
+++ b/src/coordination/roles.ts
@@ -1,6 +1,6 @@
 /** Roles: which node leads and which node owns each part. */
 
-import { HOME_SETTLE_MS, MEMBER_RENEW_MS, MEMBER_TTL_MS } from '../constants.js';
+import { HOME_SETTLE_MS, LEADER_SETTLE_MS, MEMBER_RENEW_MS, MEMBER_TTL_MS } from '../constants.js';
 import type { Committer } from '../storage/committer.js';
 import type { RateLimiter } from '../storage/rate-limiter.js';
 import { nodeKey, roleKey } from '../storage/keys.js';
@@ -11,7 +11,7 @@
 import type { Change, Guard, StateApi } from '../protocol/state-api.js';
 import type { Clock } from '../transport/clock.js';
 import { fenceAt, graceMs, type Timing } from './role-timing.js';
-import { choose, type Member } from './rendezvous.js';
+import { orderForLeader, orderForPart, type Member } from './rendezvous.js';
 
 /** What the roles of one node rest on. */
 export interface RolesOptions {
@@ -260,21 +260,15 @@
     );
   }
 
-  /** Our place in the order in which live nodes take a role: its zone first. */
+  /** Our place in the order in which nodes take a role. */
   private turn(role: string, home: Member | null): number {
-    const live = this.liveNodes();
-    const near = live.filter((member) => member.zone === home?.zone);
-    const far = live.filter((member) => member.zone !== home?.zone);
-    const order: string[] = [];
-    for (const group of [near, far]) {
-      const names = group.map((member) => member.node);
-      while (names.length > 0) {
-        const next = choose(role, names);
-        if (next === null) break;
-        order.push(next);
-        names.splice(names.indexOf(next), 1);
-      }
-    }
+    const { members } = this.options;
+    const isStarting = this.clock.now() - this.startedAt < LEADER_SETTLE_MS;
+    // Where all start at once, the first to be up leaves the lead to a better choice for a moment.
+    const candidates = home === null && isStarting ? members : this.liveNodes();
+    const order = home
+      ? orderForPart(role, home, candidates)
+      : orderForLeader(role, candidates, members);
     const at = order.indexOf(this.self.node);
     return at < 0 ? order.length : at;
   }
--- /dev/null
+++ b/test/controller-load.test.ts
@@ -0,0 +1,83 @@
+/** What keeps the controllers evenly busy: who leads, and in which zones machines are rented. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { byControllerLoad, type Offer } from '../src/coordination/fleet/offers.js';
+import { orderForLeader, orderForPart, type Member } from '../src/coordination/rendezvous.js';
+import { LEADER } from '../src/coordination/roles.js';
+import { World } from './world/world.js';
+import { TYPES } from './world/settings.js';
+
+const MEMBERS: Member[] = [
+  { node: 'n0', zone: 'a' },
+  { node: 'n1', zone: 'b' },
+  { node: 'n2', zone: 'a' },
+];
+
+// The only controller of its zone serves all of its machines; leading as well, it fell behind.
+test('nodes that share their zone lead before one that is alone in its zone', () => {
+  assert.equal(orderForLeader(LEADER, MEMBERS, MEMBERS)[2], 'n1');
+  const alone = MEMBERS.filter(({ node }) => node === 'n1');
+  assert.deepEqual(orderForLeader(LEADER, alone, MEMBERS), ['n1']);
+  const oneZone = MEMBERS.map(({ node }) => ({ node, zone: 'a' }));
+  assert.deepEqual([...orderForLeader(LEADER, oneZone, oneZone)].sort(), ['n0', 'n1', 'n2']);
+});
+
+test('a part goes to nodes of its home zone first', () => {
+  for (const [home, last] of [
+    [{ node: 'n0', zone: 'a' }, 'n1'],
+    [{ node: 'n2', zone: 'a' }, 'n1'],
+  ] as const) {
+    assert.equal(orderForPart('part', home, MEMBERS)[2], last);
+  }
+  const [first] = orderForPart('part', { node: 'n1', zone: 'b' }, MEMBERS);
+  assert.equal(first, 'n1');
+});
+
+for (const seed of [1, 2, 3]) {
+  test(`all nodes start at once: one that shares its zone leads, seed ${seed}`, async () => {
+    const world = new World(seed, [
+      ['n0', 'a'],
+      ['n1', 'b'],
+      ['n2', 'a'],
+    ]);
+    await world.run(6);
+    const leaders = world.members.filter(([name]) => world.nodes.get(name)?.node.leader);
+    assert.equal(leaders.length, 1);
+    assert.notEqual(leaders[0]?.[0], 'n1');
+  });
+}
+
+test('the only node that is up leads after a moment, wherever it is', async () => {
+  const world = new World(4, [
+    ['n0', 'a'],
+    ['n1', 'b'],
+    ['n2', 'a'],
+  ]);
+  world.kill('n0');
+  world.kill('n2');
+  await world.run(6);
+  assert.ok(world.nodes.get('n1')?.node.leader);
+});
+
+const [TYPE = assert.fail()] = TYPES;
+const offer = (zone: string, price = 1, spot = false): Offer => ({ type: TYPE, zone, spot, price });
+const fleet = (a: number, b: number): { zone: string }[] => [
+  ...new Array<{ zone: string }>(a).fill({ zone: 'a' }),
+  ...new Array<{ zone: string }>(b).fill({ zone: 'b' }),
+];
+
+for (const [name, machines, zones] of [
+  ['an empty fleet keeps the order', fleet(0, 0), ['b', 'a']],
+  ['as many machines in both', fleet(30, 30), ['a', 'b']],
+  ['as many for each controller', fleet(60, 30), ['b', 'a']],
+  ['more for each of two', fleet(70, 30), ['b', 'a']],
+  ['fewer for each of two', fleet(59, 30), ['a', 'b']],
+] as const) {
+  test(`machines are rented where controllers have the fewest: ${name}`, () => {
+    const offers = byControllerLoad([offer('b'), offer('a')], machines, MEMBERS);
+    assert.deepEqual(
+      offers.map(({ zone }) => zone),
+      zones,
+    );
+  });
+}
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -59,6 +59,7 @@
     headroomCpus: 0,
     spot: true,
     maxMachines: 100,
+    members: [],
     replica,
     cloud: {
       types: () => Promise.resolve(TYPES),
