No limit below 4,000 machines: new terms before numbers end, a larger fleet, sockets in turn

Found by going through the limits: at 4,000 machines the attempts of a part's term (2^20) end within hours and ran into those of the next part, chunk numbers into those of the next term, and the tokens of a machine that works for weeks within one term into those of the next. A role whose term has handed out half of its numbers now goes on under a new term; what this process answered before counts for the fence. fleet.max_machines was 1,000 and is 20,000: the cloud sets the bound. More workers than sockets: above nine tenths of the connections all end with their answer, so that each finds one in turn.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -187,6 +187,9 @@
 /** Share of the sockets for requests in use above which users' connections end with their answer,
  * so that workers find one: after a restart all of them come to the few nodes that are up. */
 export const CROWDED_SHARE = 0.7;
+/** Share of them above which workers' connections end with their answer too: 4,000 workers at the one
+ * node that is up have more than its sockets, and those without one must find one in turn. */
+export const FULL_SHARE = 0.9;
 /** ms; an idle connection is kept so long: three reports of the slowest workers seen. */
 export const KEEP_ALIVE_MS = 20_000;
 /** Sockets to the state service beside the watch. */
--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -8,6 +8,7 @@
   CLOUD_TIMEOUT_MS,
   DIRECT_AT_ONCE,
   DIRECT_SOCKETS,
+  FULL_SHARE,
   DIRECT_TIMEOUT_MS,
   KEEP_ALIVE_MS,
   LIST_PAGE,
@@ -81,6 +82,7 @@
     bodyBytes: MAX_BODY_BYTES,
     connections,
     crowded: Math.floor(connections * CROWDED_SHARE),
+    full: Math.floor(connections * FULL_SHARE),
     keepAliveMs: KEEP_ALIVE_MS,
   };
 }
--- a/src/coordination/gang-history.ts
+++ b/src/coordination/gang-history.ts
@@ -11,6 +11,7 @@
 } from '../constants.js';
 import type { Share } from './gang-plan.js';
 import { placeKey } from './priorities.js';
+import { TermNumbers } from './term-numbers.js';
 
 /** How often a gang was handed out, and when last. */
 interface Tries {
@@ -20,21 +21,28 @@
 
 /** The leader's memory of gangs in one term; times are of the steady clock, in ms. */
 export class GangHistory {
-  private attemptCount = 0;
+  private readonly attempts: TermNumbers;
   private readonly tries = new Map<string, Tries>();
   /** Since when a gang waits, by job. */
   private readonly waitingSince = new Map<string, number>();
   /** Where a gang with an image was last, in the order of use. */
   private readonly placeByImage = new Map<string, string>();
 
-  constructor(private readonly term: number) {}
+  constructor(term: number) {
+    const range = term * ATTEMPT_PARTS + ATTEMPT_PARTS - 1;
+    this.attempts = new TermNumbers(range * ATTEMPT_STEP, ATTEMPT_STEP);
+  }
+
+  /** The leader needs a new term before it has used all attempts of this one. */
+  get isRunningOut(): boolean {
+    return this.attempts.isRunningOut;
+  }
 
   /** A new attempt for all tasks of a gang: numbers of no part, and never used again. */
   attempt(job: string, now: number): number {
     this.tries.set(job, { count: (this.tries.get(job)?.count ?? 0) + 1, at: now });
     this.waitingSince.delete(job);
-    const range = this.term * ATTEMPT_PARTS + ATTEMPT_PARTS - 1;
-    return range * ATTEMPT_STEP + ++this.attemptCount;
+    return this.attempts.next();
   }
 
   /** The place that had a gang with an image last; null: none is remembered. */
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -65,6 +65,11 @@
     this.chunkCommit = new ChunkCommit(services);
   }
 
+  /** Half of the numbers of this term are used: the leader should go on under a new one. */
+  get needsNewTerm(): boolean {
+    return this.planner.isRunningOut;
+  }
+
   /** A key of the replica changed. */
   changed(key: string): void {
     this.ledger.changed(key);
--- a/src/coordination/leader/assignment-planner.ts
+++ b/src/coordination/leader/assignment-planner.ts
@@ -56,6 +56,7 @@
   private readonly inventory: Inventory;
   private readonly limits: TeamLimits;
   private readonly gangs: GangHistory;
+  private readonly chunkFactory: ChunkFactory;
   private readonly history = new AssignmentHistory();
   private readonly partAssignment: PartAssignment;
   private readonly gangAssignment: GangAssignment;
@@ -73,11 +74,17 @@
     this.teams = teams;
     this.limits = limits;
     this.gangs = gangs;
+    this.chunkFactory = chunkFactory;
     this.inventory = new Inventory(options.members, replica, ledger);
     this.partAssignment = new PartAssignment({ limits, history, distribution, clock });
     this.gangAssignment = new GangAssignment(gangOptions);
   }
 
+  /** The leader needs a new term before it has used all numbers of this one. */
+  get isRunningOut(): boolean {
+    return this.chunkFactory.isRunningOut || this.gangs.isRunningOut;
+  }
+
   /** Plans a round by the room and the team limits that are left now. */
   plan(): AssignmentRound {
     const { clock, supply } = this.options;
--- a/src/coordination/leader/chunk-factory.ts
+++ b/src/coordination/leader/chunk-factory.ts
@@ -4,6 +4,7 @@
 import { chunkKey } from '../../storage/keys.js';
 import { writeRanges } from '../../storage/ranges.js';
 import type { ChunkRecord } from '../../storage/records.js';
+import { TermNumbers } from '../term-numbers.js';
 
 /** The machines of one part in one zone. */
 export interface Place {
@@ -25,22 +26,25 @@
 
 /** Creates chunk records with numbers that no other chunk has. */
 export class ChunkFactory {
-  private created = 0;
+  private readonly numbers: TermNumbers;
   private readonly tasksPerChunk: number;
 
-  constructor(
-    private readonly term: number,
-    valueBytes: number,
-  ) {
+  constructor(term: number, valueBytes: number) {
+    this.numbers = new TermNumbers(term * NUMBERS_PER_TERM, NUMBERS_PER_TERM);
     const bytes = valueBytes * VALUE_SHARE - CHUNK_BASE_BYTES;
     this.tasksPerChunk = Math.max(1, Math.floor(bytes / CHUNK_TASK_BYTES));
   }
 
+  /** The leader needs a new term before it has made all chunks that this one has numbers for. */
+  get isRunningOut(): boolean {
+    return this.numbers.isRunningOut;
+  }
+
   /** Records that assign these tasks to a place, each small enough for one value. */
   create(spec: JobSpec, place: Place, ids: readonly number[], gang: GangFields = {}): NewChunk[] {
     const chunks: NewChunk[] = [];
     for (let start = 0; start < ids.length; start += this.tasksPerChunk) {
-      const number = this.term * NUMBERS_PER_TERM + ++this.created;
+      const number = this.numbers.next();
       chunks.push({
         key: chunkKey(place.part, spec.id, number),
         value: {
--- a/src/coordination/machines.ts
+++ b/src/coordination/machines.ts
@@ -14,6 +14,7 @@
 import type { Clock } from '../transport/clock.js';
 import { createMachine, type Machine } from './machine.js';
 import type { Room } from './room.js';
+import { isRunningOut } from './term-numbers.js';
 
 const NO_TYPES: MachineType[] = [];
 
@@ -45,7 +46,10 @@
   readonly all = new Map<string, Machine>();
   readonly baseToken: number;
   private sorted: Machine[] | null = null;
+  /** New entries begin at this one. */
   private highestBump = 0;
+  /** The highest that any machine was given in this term. */
+  private mostBump = 0;
   private catalog: { value: MachineType[]; byName: Map<string, MachineType> } | null = null;
 
   constructor(
@@ -70,6 +74,7 @@
     this.all.delete(machine.name);
     this.sorted = null;
     this.highestBump = Math.max(this.highestBump, machine.bump + 1);
+    this.mostBump = Math.max(this.mostBump, this.highestBump);
   }
 
   /** The part's fixed order: ordinary machines first, by name. */
@@ -80,6 +85,11 @@
     return this.sorted;
   }
 
+  /** The part needs a new term before its tokens reach those of the next one. */
+  get isRunningOut(): boolean {
+    return isRunningOut(this.mostBump, TOKEN_STEP);
+  }
+
   /** The token that our commands to a machine carry. */
   tokenOf(machine: Machine): number {
     return this.baseToken + machine.bump;
@@ -92,6 +102,7 @@
   fence(machine: Machine): void {
     machine.bump++;
     machine.exposed = false;
+    this.mostBump = Math.max(this.mostBump, machine.bump);
   }
 
   /** From now on only a report that shows a token not given out yet proves that it hears us. */
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -141,11 +141,11 @@
 
   private createLoops(): NodeLoops {
     const { activeRoles } = this;
-    const { environment, log, roles } = this.services;
+    const { environment, log } = this.services;
     const loop = (options: Omit<RoundLoopOptions, 'clock' | 'log'>): RoundLoop =>
       new RoundLoop({ ...options, clock: environment.clock, log });
     return {
-      roles: loop({ name: 'roles', round: () => roles.round(), idleMs: () => ROLES_MS }),
+      roles: loop({ name: 'roles', round: () => this.runRoles(), idleMs: () => ROLES_MS }),
       parts: loop({ name: 'parts', round: () => this.runParts() }),
       leader: loop({
         name: 'leader',
@@ -161,6 +161,13 @@
     };
   }
 
+  /** One round of the roles, and new terms for those that run out of numbers. */
+  private async runRoles(): Promise<void> {
+    const { roles } = this.services;
+    await roles.round();
+    for (const role of this.activeRoles.rolesInNeedOfTerms()) await roles.renewTerm(role);
+  }
+
   /** One round of each part, one after the other, and what is due periodically beside them. */
   private async runParts(): Promise<void> {
     this.requestLog.writeIfDue();
--- a/src/coordination/node/active-roles.ts
+++ b/src/coordination/node/active-roles.ts
@@ -53,6 +53,14 @@
     this.syncLeader();
   }
 
+  /** The roles whose terms have handed out half of their numbers. */
+  rolesInNeedOfTerms(): string[] {
+    const parts = [...this.parts].filter(([, part]) => part.needsNewTerm);
+    const roles = parts.map(([name]) => partRole(name));
+    if (this.activeLeader?.needsNewTerm) roles.push(LEADER);
+    return roles;
+  }
+
   /** One round of the leader; notifies the parts for which something urgent was written. */
   async runLeader(): Promise<void> {
     const written = await this.activeLeader?.round();
--- a/src/coordination/part.ts
+++ b/src/coordination/part.ts
@@ -73,6 +73,11 @@
     return this.context.machines;
   }
 
+  /** Half of the numbers of this term are used: the part should go on under a new one. */
+  get needsNewTerm(): boolean {
+    return this.machines.isRunningOut || (this.placingLoader.placing?.isRunningOut ?? false);
+  }
+
   /** How many machines the part has, and how many tasks are placed and wait, for the metrics. */
   counts(): { machines: number; placed: number; waiting: number } {
     return { machines: this.machines.all.size, ...this.context.tasks.counts() };
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -15,6 +15,7 @@
 import { Preemption, type PreemptionRules } from './preemption.js';
 import { take } from './room.js';
 import type { Chunk, Slot, Tasks } from './tasks.js';
+import { TermNumbers } from './term-numbers.js';
 
 /** What placing needs of its part, beside tasks and machines. */
 export interface PlacingOptions extends MachineChoiceOptions, PreemptionRules {
@@ -62,7 +63,7 @@
 
 /** Decides where a part's waiting tasks go. */
 export class Placing {
-  private attempts = 0;
+  private readonly attempts: TermNumbers;
   private readonly choice: MachineChoice;
   private readonly preemption: Preemption;
   private readonly layouts: GangLayouts;
@@ -74,6 +75,8 @@
     private readonly dependencies: PlacingDependencies,
   ) {
     const { tasks, machines, bandit, clock } = dependencies;
+    const range = options.term * ATTEMPT_PARTS + options.number;
+    this.attempts = new TermNumbers(range * ATTEMPT_STEP, ATTEMPT_STEP);
     this.choice = new MachineChoice(options, machines, bandit);
     this.preemption = new Preemption(options, dependencies);
     this.layouts = new GangLayouts(this.preemption, options.job, clock);
@@ -81,6 +84,11 @@
     this.consolidation = new Consolidation(options.job, dependencies);
   }
 
+  /** The part needs a new term before it has used all attempts of this one. */
+  get isRunningOut(): boolean {
+    return this.attempts.isRunningOut;
+  }
+
   /** Moves services off little-used machines; returns those on which tasks must now be stopped. */
   consolidate(): Set<string> {
     return this.consolidation.run();
@@ -227,13 +235,7 @@
     const { type, name } = target.machine;
     load.set(type, (load.get(type) ?? 0) + 1);
     const context = this.choice.context(spec, type, load);
-    const attempt = chunk.record.attempt ?? this.nextAttempt();
+    const attempt = chunk.record.attempt ?? this.attempts.next();
     this.dependencies.tasks.place(chunk, slot, { machine: name, attempt, context });
   }
-
-  /** A number that no other attempt has, of any term or part. */
-  private nextAttempt(): number {
-    const { term, number } = this.options;
-    return (term * ATTEMPT_PARTS + number) * ATTEMPT_STEP + ++this.attempts;
-  }
 }
--- a/src/coordination/role-timing.ts
+++ b/src/coordination/role-timing.ts
@@ -44,7 +44,8 @@
   wall: number,
   timing: Timing,
 ): number {
-  // The process before this one ended before this one began, so its answers did too.
+  // The process before this one ended before this one began, so its answers did too. Where this one
+  // held the role itself, `startedAt` is when its earlier term ended.
   const afterSelf = self.startedAt + leaseMs(timing);
   if (record.movedAt === 0 || wall - record.movedAt > MOVED_LONG_MS) return afterSelf;
   // Another node answered at the latest a full grace after its last watch that did not show the
--- a/src/coordination/roles.ts
+++ b/src/coordination/roles.ts
@@ -38,6 +38,16 @@
   record: RoleRecord;
 }
 
+/** When and how this process got a role. */
+interface Claim {
+  term: number;
+  revision: number;
+  /** Steady time at which this process first saw the term. */
+  seenAt: number;
+  /** This process held the role under an earlier term, and may have answered workers until then. */
+  heldBefore: boolean;
+}
+
 /** What a pause of the registration is kept under; no role has this name. */
 const REGISTRATION = 'registration';
 
@@ -51,7 +61,7 @@
   private lease: number | null = null;
   private readonly freeSince = new Map<string, number>();
   /** Our roles: term, the revision at which we got it, and when we first saw that. */
-  private readonly claims = new Map<string, { term: number; revision: number; seenAt: number }>();
+  private readonly claims = new Map<string, Claim>();
   private busy = false;
   private renewedAt = -Infinity;
   private readonly invalidBackoff: InvalidChangeBackoff;
@@ -103,7 +113,8 @@
     let claim = this.claims.get(role);
     // Its key may be written anew within the term: what counts is when we got it.
     if (claim?.term !== term) {
-      claim = { term, revision: held.revision, seenAt: this.clock.now() };
+      const heldBefore = claim !== undefined;
+      claim = { term, revision: held.revision, seenAt: this.clock.now(), heldBefore };
       this.claims.set(role, claim);
     }
     if (this.replica.revision < claim.revision) return null;
@@ -117,8 +128,10 @@
 
   /** The steady time from which no machine that did not speak to us has tasks left. */
   fence(owned: Owned): number {
-    const { startedAt } = this;
-    const seenAt = this.claims.get(owned.role)?.seenAt ?? this.clock.now();
+    const claim = this.claims.get(owned.role);
+    const seenAt = claim?.seenAt ?? this.clock.now();
+    // Under an earlier term this process itself answered until it saw the new one.
+    const startedAt = claim?.heldBefore ? seenAt : this.startedAt;
     return fenceAt(owned.record, { startedAt, seenAt }, this.clock.wall(), this.options.timing);
   }
 
@@ -214,6 +227,11 @@
     }
   }
 
+  /** Goes on with a role of ours under a new term, whose numbers are all unused. */
+  async renewTerm(role: string): Promise<void> {
+    if (this.owned(role) !== null) await this.claim(role);
+  }
+
   private holderLives(holder: RoleRecord | null): boolean {
     return holder !== null && this.isLive(holder.owner, holder.incarnation);
   }
--- /dev/null
+++ b/src/coordination/term-numbers.ts
@@ -0,0 +1,30 @@
+/** Numbers that one term of a role hands out, each once. */
+
+/** Share of a term's numbers after which the role should go on under a new term. */
+const RENEW_SHARE = 0.5;
+
+/** Whether so many of a term's numbers are used that the role needs a new term. */
+export const isRunningOut = (used: number, size: number): boolean => used >= size * RENEW_SHARE;
+
+/** A range of numbers that belongs to one term; numbers of other terms are never handed out. */
+export class TermNumbers {
+  private used = 0;
+
+  /** `base`: the number before the first; `size`: how many there are. */
+  constructor(
+    private readonly base: number,
+    private readonly size: number,
+  ) {}
+
+  /** The next number. Throws rather than hand out a number of another term. */
+  next(): number {
+    if (this.used + 1 >= this.size) throw new Error('the numbers of this term are used up');
+    this.used++;
+    return this.base + this.used;
+  }
+
+  /** The role needs a new term: half of the numbers are left for the time until it has one. */
+  get isRunningOut(): boolean {
+    return isRunningOut(this.used, this.size);
+  }
+}
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -83,7 +83,7 @@
       idle_s: v.optional(amount, 12),
       headroom_cpus: v.optional(amount, 6),
       spot: v.optional(v.boolean(), true),
-      max_machines: v.optional(positive, 1000),
+      max_machines: v.optional(positive, 20_000),
     }),
     {},
   ),
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -47,6 +47,8 @@
   connections: number;
   /** More connections than this: those of other routes end with their answer. */
   crowded: number;
+  /** More connections than this: all end with their answer, so that others find one in turn. */
+  full: number;
   keepAliveMs: number;
 }
 
@@ -137,13 +139,18 @@
         return;
       }
       const reply = await this.answer(route.found, route.id, incoming);
-      const isCrowded = this.openConnections > this.limits.crowded;
-      send(outgoing, reply, route.found.keepsConnection === true || !isCrowded);
+      send(outgoing, reply, this.mayKeep(route.found));
     } catch (error) {
       this.failed(error, incoming, outgoing);
     }
   }
 
+  /** Whether the connection of a request to this route stays open after its answer. */
+  private mayKeep(route: Route): boolean {
+    const { crowded, full } = this.limits;
+    return this.openConnections <= (route.keepsConnection ? full : crowded);
+  }
+
   /** The route of a request with the part of its path that stands for `:id`, or why there is none. */
   private find(incoming: IncomingMessage): HttpReply | { found: Route; id: string } {
     const { method = '', url = '/' } = incoming;
--- a/test/gang-input.test.ts
+++ b/test/gang-input.test.ts
@@ -156,7 +156,7 @@
 
 test('gang input: the user is sent when to come again', async () => {
   const handle = (): HttpReply => ({ status: 503, body: { error: 'not yet' }, retryAfterS: 2 });
-  const limits = { bodyBytes: 65_536, connections: 10, crowded: 10, keepAliveMs: 1000 };
+  const limits = { bodyBytes: 65_536, connections: 10, crowded: 10, full: 10, keepAliveMs: 1000 };
   const routes = [{ method: 'POST' as const, path: '/v2/runs', handle }];
   const server = await listenHttp('127.0.0.1:0', routes, limits, () => undefined);
   try {
--- a/test/http-server.test.ts
+++ b/test/http-server.test.ts
@@ -81,7 +81,7 @@
   errors: unknown[];
 }> {
   const errors: unknown[] = [];
-  const limits = { bodyBytes: LIMIT, connections: 10, crowded: 10, keepAliveMs: 20_000 };
+  const limits = { bodyBytes: LIMIT, connections: 10, crowded: 10, full: 10, keepAliveMs: 20_000 };
   const server = await listenHttp('127.0.0.1:0', ROUTES, limits, (error) => errors.push(error));
   t.after(() => server.closeAllConnections());
   t.after(() => server.close());
--- a/test/scale.test.ts
+++ b/test/scale.test.ts
@@ -147,11 +147,11 @@
         handle: () => ({ status: 200, body: {} }),
       },
     ],
-    { bodyBytes: 1000, connections: 10, crowded: 1, keepAliveMs: 20_000 },
+    { bodyBytes: 1000, connections: 10, crowded: 1, full: 2, keepAliveMs: 20_000 },
     () => undefined,
   );
   const { port } = server.address() as AddressInfo;
-  const agents = [new http.Agent({ keepAlive: true }), new http.Agent({ keepAlive: true })];
+  const agents = [1, 2, 3].map(() => new http.Agent({ keepAlive: true }));
   t.after(() => {
     for (const agent of agents) agent.destroy();
     server.close();
@@ -169,6 +169,10 @@
   assert.equal(await connectionOf(1, '/worker'), 'keep-alive');
   assert.equal(await connectionOf(0, '/user'), 'close');
   assert.equal(await connectionOf(1, '/worker'), 'keep-alive');
+  // A user's has ended meanwhile, so two are open; one more than those makes all end in turn.
+  assert.equal(await connectionOf(0, '/worker'), 'keep-alive');
+  assert.equal(await connectionOf(2, '/worker'), 'close');
+  assert.equal(await connectionOf(1, '/worker'), 'keep-alive');
 });
 
 test('direct calls beyond what is handled in time wait for others, and use no more sockets', async () => {
--- /dev/null
+++ b/test/term-numbers.test.ts
@@ -0,0 +1,64 @@
+/** Numbers of a term: each once, and a new term in time. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { TOKEN_STEP } from '../src/constants.js';
+import { TermNumbers } from '../src/coordination/term-numbers.js';
+import { partRole } from '../src/coordination/roles.js';
+import { roleKey } from '../src/storage/keys.js';
+import type { RoleRecord } from '../src/storage/records.js';
+import { settled } from './world/requests.js';
+import { World } from './world/world.js';
+
+test('a term hands out its numbers once each, and none of the next term', () => {
+  const numbers = new TermNumbers(700, 10);
+  const given = [1, 2, 3, 4].map(() => numbers.next());
+  assert.deepEqual(given, [701, 702, 703, 704]);
+  assert.equal(numbers.isRunningOut, false);
+  assert.equal(numbers.next(), 705);
+  assert.equal(numbers.isRunningOut, true);
+  for (let left = 4; left > 0; left--) assert.ok(numbers.next() < 710);
+  assert.throws(() => numbers.next(), /used up/);
+});
+
+const termOf = (world: World, role: string): number =>
+  (world.state.cells.get(roleKey(role))?.value as RoleRecord).term;
+
+// 4,000 machines use up the attempts of a part's term in some hours; they ran into those of the next
+// part, and a machine that works for weeks into the tokens of the next term.
+for (const cutS of [0, 10, 40]) {
+  test(`a part goes on under a new term before its numbers end, machines cut off for ${cutS} s`, async () => {
+    const world = new World(5);
+    for (const zone of ['a', 'a', 'b', 'b']) world.addMachine('small', zone, false, 500);
+    await world.run(8);
+    await settled(world, world.submit('j-000001', { tasks: 8, runS: 400, team: 'blue' }));
+    await world.run(30);
+    const starts = world.starts.length;
+    assert.equal(starts, 8);
+    const busy = world.members.find(([name]) => {
+      return (world.nodes.get(name)?.node.parts.get(name)?.machines.all.size ?? 0) > 0;
+    });
+    const [name = assert.fail('no part has machines')] = busy ?? [];
+    const owner = world.nodes.get(name)?.node;
+    const part = owner?.parts.get(name);
+    const [machine] = part?.machines.all.values() ?? [];
+    assert.ok(part && machine);
+    const roles = world.members.map(([node]) => partRole(node));
+    const before = roles.map((role) => termOf(world, role));
+    while (!part.needsNewTerm) part.machines.fence(machine);
+    assert.ok(machine.bump < TOKEN_STEP);
+    for (const [node] of world.members) {
+      for (const worker of world.workers.keys()) if (cutS > 0) world.cuts.add(`${node}>${worker}`);
+    }
+    await world.run(cutS);
+    world.cuts.clear();
+    await world.run(20);
+    const after = roles.map((role) => termOf(world, role));
+    const expected = roles.map((role, at) => (before[at] ?? 0) + Number(role === partRole(name)));
+    assert.deepEqual(after, expected, 'only its own role has a new term');
+    const renewed = owner?.parts.get(name);
+    assert.ok(renewed && renewed !== part && !renewed.needsNewTerm);
+    await world.run(60);
+    assert.deepEqual(world.broken, []);
+    if (cutS < 20) assert.equal(world.starts.length, starts, 'nothing had to start again');
+  });
+}
