--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,35 +1,29 @@
 /** The leader's round: it completes jobs whose tasks are done, and assigns tasks to parts. */
-import type { Team } from '../protocol/settings.js';
 import { InvalidChangeBackoff } from '../storage/invalid-change-backoff.js';
 import { JOBS } from '../storage/keys.js';
 import type { Log } from '../storage/log.js';
-import type { Supply } from '../storage/rate-limiter.js';
 import type { StoreReplica } from '../storage/store-replica.js';
 import type { Clock } from '../transport/clock.js';
 import type { FleetSnapshot } from './capacity.js';
 import type { GuardedWriter } from './guarded-writer.js';
-import { AssignmentPlanner } from './leader/assignment-planner.js';
+import { AssignmentPlanner, type AssignmentPlannerOptions } from './leader/assignment-planner.js';
 import type { AssignmentRound } from './leader/assignment-round.js';
 import { ChunkCommit } from './leader/chunk-commit.js';
 import { JobCompletion } from './leader/job-completion.js';
 import { Ledger } from './ledger.js';
 import { RecentArrivals } from './recent-arrivals.js';
-import type { Member } from './rendezvous.js';
+
+/** What the planner of assignments gets from its leader's options. */
+type PlannerSettings = Pick<
+  AssignmentPlannerOptions,
+  'term' | 'valueBytes' | 'teams' | 'members' | 'startWithinS' | 'supply'
+>;
 
 /** What a leader works with in its term. */
-export interface LeaderOptions {
-  readonly term: number;
+export interface LeaderOptions extends PlannerSettings {
   readonly writer: GuardedWriter;
   /** Changes that one transaction may hold. */
   readonly txnOps: number;
-  /** Bytes that one value may hold. */
-  readonly valueBytes: number;
-  readonly teams: readonly Team[];
-  readonly members: readonly Member[];
-  /** Seconds within which tasks of a class should start. */
-  readonly startWithinS: Readonly<Record<string, number>>;
-  /** How scarce this node's writes to the state service are. */
-  readonly supply: () => Supply;
 }
 
 /** Completes jobs and assigns tasks to parts, round by round. */
