--- a/test/world/judge.ts
+++ b/test/world/judge.ts
@@ -127,7 +127,8 @@
     }
     if (!job) return;
     this.judgeCancelled(job, task);
-    const most = TEAMS.find((team) => team.name === job.team)?.cpusMax ?? 0;
+    const teams = this.world.overrides.teams ?? TEAMS;
+    const most = teams.find((team) => team.name === job.team)?.cpusMax ?? 0;
     if (used > most + 1e-6) this.broken.push(`quota ${job.team} ${used}`);
     this.judgePlace(job, worker, task, zones);
   }
