Package failure-detector: SWIM probes and rumours with Lifeguard's additions

Change: an npm workspace of its own that imports nothing of src. Clock, random numbers, transport and observer are interfaces. A verdict lists its evidence; witnesses are counted once, need the store, and the own probe is always one of them. Messages have a protobuf codec that never throws.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -46,7 +46,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ['target/', 'node_modules/'] },
+  { ignores: ['**/target/', '**/node_modules/'] },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
@@ -77,7 +77,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'packages/*/src/**/*.ts'],
     plugins: { jsdoc, mothbank: { rules: { 'module-comment': moduleComment } } },
     rules: {
       // The two sides of a comparison are `a` and `b`, and valibot's schemas are written with `v`.
@@ -116,5 +116,12 @@
       ],
     },
   })),
+  {
+    // A package stands alone: programs embed it without the daemon.
+    files: ['packages/*/src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', { patterns: [{ regex: '^(\\.\\./){2,}' }] }],
+    },
+  },
   ...Object.entries(exceptions).map(([rule, files]) => ({ files, rules: { [rule]: 'off' } })),
 );
--- /dev/null
+++ b/packages/failure-detector/src/detector.ts
@@ -0,0 +1,232 @@
+/** The failure detector of one member: SWIM's probes and rumours, with Lifeguard's additions. */
+
+import { HELPER_SHARE, MEMBERS_MAX, TICKS_PER_INTERVAL } from './constants.js';
+import { HelpedProbes } from './helped-probes.js';
+import { noCounts, type DetectorCounts } from './history.js';
+import { LocalHealth } from './local-health.js';
+import { MemberTable } from './member-table.js';
+import {
+  objectionTo,
+  type DetectorBody,
+  type DetectorMessage,
+  type DropReason,
+} from './messages.js';
+import { ProbeSchedule } from './probe-schedule.js';
+import { Probes } from './probes.js';
+import type { ProbeAnswer } from './remote-member.js';
+import { Rumours } from './rumours.js';
+import type { FailureDetectorOptions, MemberState } from './types.js';
+import { quorumOf, type Verdict } from './verdict.js';
+
+/** Round-trip times of one member's direct probes, in ms. */
+export interface ProbeTimes {
+  readonly member: string;
+  readonly roundTripsMs: readonly number[];
+}
+
+/** Answers with which a message is sent back over the connection that it came on. */
+export type Reply = (message: DetectorMessage) => void;
+
+/** Watches the other members. It never says that a process has ended, unless a later one proves it. */
+export class FailureDetector {
+  /** What happened since the start. */
+  readonly counts: DetectorCounts = noCounts();
+  private readonly health = new LocalHealth();
+  private readonly names: ReadonlySet<string>;
+  private readonly table: MemberTable;
+  private readonly schedule: ProbeSchedule;
+  private readonly probes: Probes;
+  private readonly helped: HelpedProbes;
+  private readonly rumours: Rumours;
+  private cancelTick: (() => void) | null = null;
+  private tickDueAt = 0;
+  private nextProbeAt: number;
+
+  constructor(private readonly options: FailureDetectorOptions) {
+    const { clock, members, random, self, timing } = options;
+    if (members.length > MEMBERS_MAX) throw new RangeError(`more than ${MEMBERS_MAX} members`);
+    const others = members.filter((member) => member !== self);
+    const quorum = options.quorum ?? quorumOf(members.length);
+    const send = (member: string, body: DetectorBody): boolean => this.send(member, body);
+    const now = (): number => clock.now();
+    this.names = new Set(members);
+    this.table = new MemberTable({ ...options, others, quorum, counts: this.counts });
+    this.schedule = new ProbeSchedule(others, random);
+    this.rumours = this.createRumours();
+    const answerWithinMs = timing.probeTimeoutMs * HELPER_SHARE;
+    this.helped = new HelpedProbes({ now, answerWithinMs, send });
+    this.probes = new Probes({
+      now,
+      timeoutMs: timing.probeTimeoutMs,
+      health: this.health,
+      schedule: this.schedule,
+      send,
+      results: {
+        reached: (member, answer, roundTripMs) => this.reached(member, answer, roundTripMs),
+        unreached: (member, sentAt) => this.unreached(member, sentAt),
+      },
+    });
+    // Members that start together don't probe in step.
+    this.nextProbeAt = clock.now() + random() * timing.probeIntervalMs;
+  }
+
+  /** Begins to probe. */
+  start(): void {
+    this.scheduleTick();
+  }
+
+  /** Ends all probing. */
+  stop(): void {
+    this.cancelTick?.();
+    this.cancelTick = null;
+  }
+
+  /** How a member looks to this one. */
+  stateOf(member: string): MemberState {
+    return this.table.get(member)?.state ?? 'unknown';
+  }
+
+  /** Steady time in ms since which a member is suspected; null: it is not. */
+  suspectedSince(member: string): number | null {
+    return this.table.get(member)?.suspicion?.startedAt ?? null;
+  }
+
+  /** What the evidence on an instance amounts to; proofs of life count from `since` on. */
+  verdict(member: string, instance: string, since: number): Verdict | null {
+    const known = this.table.get(member);
+    return known ? this.table.verdict(known, instance, since) : null;
+  }
+
+  /** Probes a member now, out of its turn. */
+  probe(member: string): void {
+    if (this.table.get(member)) this.probes.begin(member);
+  }
+
+  /** How far this member trusts itself; 0: wholly. */
+  get localHealthScore(): number {
+    return this.health.score;
+  }
+
+  /** Probes that were sent and that failed. */
+  get probeCounts(): { readonly sent: number; readonly failed: number } {
+    return this.probes.counts;
+  }
+
+  /** Round-trip times since they were last taken. */
+  takeProbeTimes(): ProbeTimes[] {
+    return [...this.table.all()].map((member) => ({
+      member: member.name,
+      roundTripsMs: member.takeProbeTimes(),
+    }));
+  }
+
+  /** A message that could not be read came. */
+  receiveMalformed(): void {
+    this.drop('malformed');
+  }
+
+  /** Handles a message; what can't be used is counted and passed over. */
+  receive(message: DetectorMessage, reply: Reply): void {
+    const { cluster, self } = this.options;
+    const objection = objectionTo(message, cluster, this.names);
+    if (objection) {
+      this.drop(objection);
+      return;
+    }
+    if (message.from === self) return;
+    this.counts.messagesReceived++;
+    for (const update of message.updates) this.rumours.apply(update);
+    this.handleBody(message, reply);
+  }
+
+  private handleBody({ body, from, instance, incarnation }: DetectorMessage, reply: Reply): void {
+    const { sequence } = body;
+    switch (body.kind) {
+      case 'ping':
+        this.counts.messagesSent++;
+        reply(this.messageTo(from, { kind: 'ack', sequence }));
+        return;
+      case 'ack':
+        if (this.helped.answered(sequence, from, instance, incarnation)) return;
+        this.probes.answered(sequence, from, instance, incarnation);
+        return;
+      case 'indirectPing':
+        if (body.target === this.options.self) return;
+        this.helped.begin(from, sequence, body.target);
+        return;
+      case 'indirectAck':
+        this.probes.answeredByHelper(from, body);
+    }
+  }
+
+  private createRumours(): Rumours {
+    return new Rumours({
+      detector: this.options,
+      names: this.names,
+      table: this.table,
+      health: this.health,
+      onDropped: (reason) => this.drop(reason),
+      // Each member looks for itself: a slow witness brings nobody down.
+      onReported: (member) => this.probes.begin(member),
+    });
+  }
+
+  private scheduleTick(): void {
+    const { clock, timing } = this.options;
+    const delayMs = timing.probeIntervalMs / TICKS_PER_INTERVAL;
+    this.tickDueAt = clock.now() + delayMs;
+    this.cancelTick = clock.after(delayMs, () => this.tick());
+  }
+
+  private tick(): void {
+    const { clock, timing } = this.options;
+    const now = clock.now();
+    const latenessMs = now - this.tickDueAt;
+    // What came while this process stood still is unread yet: its silence was this member's own.
+    if (this.health.lagged(latenessMs)) this.probes.extend(latenessMs);
+    this.probes.advance();
+    this.helped.advance();
+    this.table.advance();
+    if (now >= this.nextProbeAt) {
+      this.nextProbeAt = now + timing.probeIntervalMs;
+      const member = this.schedule.next();
+      if (member !== null) this.probes.begin(member);
+    }
+    this.scheduleTick();
+  }
+
+  private reached(name: string, answer: ProbeAnswer, roundTripMs: number | null): void {
+    const member = this.table.get(name);
+    if (!member) return;
+    if (!this.table.reached(member, answer)) {
+      this.drop('other instance');
+      return;
+    }
+    if (roundTripMs !== null) member.addProbeTime(roundTripMs);
+    this.rumours.answered(name, answer.instance, answer.incarnation);
+  }
+
+  private unreached(name: string, sentAt: number): void {
+    const member = this.table.get(name);
+    if (!member) return;
+    this.table.unreached(member, sentAt);
+    this.rumours.reportUnreached(member);
+  }
+
+  private drop(reason: DropReason): void {
+    this.counts.dropped[reason]++;
+  }
+
+  private send(member: string, body: DetectorBody): boolean {
+    const isSent = this.options.transport.send(member, this.messageTo(member, body));
+    if (isSent) this.counts.messagesSent++;
+    return isSent;
+  }
+
+  private messageTo(receiver: string, body: DetectorBody): DetectorMessage {
+    const { cluster, instance, self } = this.options;
+    const updates = this.rumours.next(receiver);
+    const { incarnation } = this.rumours;
+    return { cluster, from: self, instance, incarnation, updates, body };
+  }
+}
--- /dev/null
+++ b/packages/failure-detector/src/history.ts
@@ -0,0 +1,57 @@
+/** The latest of what happened, bounded, and counts of all of it since the start. */
+
+import type { DropReason } from './messages.js';
+
+/** Counts since the start of this process. */
+export interface DetectorCounts {
+  suspicions: number;
+  /** Suspected members that answered before they counted as failed. */
+  refutations: number;
+  failures: number;
+  /** Failures of instances that answered again. */
+  falseFailures: number;
+  /** Sum over failures of the ms from the last proof of life to the verdict. */
+  detectionMs: number;
+  messagesSent: number;
+  messagesReceived: number;
+  dropped: Record<DropReason, number>;
+}
+
+/** Counts at the start. */
+export function noCounts(): DetectorCounts {
+  return {
+    suspicions: 0,
+    refutations: 0,
+    failures: 0,
+    falseFailures: 0,
+    detectionMs: 0,
+    messagesSent: 0,
+    messagesReceived: 0,
+    dropped: {
+      malformed: 0,
+      'foreign cluster': 0,
+      'unknown member': 0,
+      'other instance': 0,
+      'old incarnation': 0,
+      'no witness': 0,
+    },
+  };
+}
+
+/** Keeps the latest entries; the oldest give way. */
+export class BoundedHistory<Entry> {
+  private readonly kept: Entry[] = [];
+
+  constructor(private readonly most: number) {}
+
+  /** Adds an entry. */
+  add(entry: Entry): void {
+    this.kept.push(entry);
+    if (this.kept.length > this.most) this.kept.shift();
+  }
+
+  /** The entries that are kept, oldest first. */
+  all(): readonly Entry[] {
+    return this.kept;
+  }
+}
--- /dev/null
+++ b/packages/failure-detector/src/member-table.ts
@@ -0,0 +1,180 @@
+/** The states of the other members: what probes and reports do to them. */
+
+import { EVIDENCE_INTERVALS } from './constants.js';
+import type { DetectorCounts } from './history.js';
+import { RemoteMember, type ProbeAnswer } from './remote-member.js';
+import { Suspicion } from './suspicion.js';
+import type {
+  DetectorClock,
+  DetectorObserver,
+  DetectorTiming,
+  MemberState,
+  TransitionReason,
+} from './types.js';
+import { verdictOf, type Verdict } from './verdict.js';
+
+/** What the table works with. */
+export interface MemberTableOptions {
+  readonly self: string;
+  readonly others: readonly string[];
+  readonly quorum: number;
+  readonly timing: DetectorTiming;
+  readonly clock: DetectorClock;
+  readonly observer: DetectorObserver;
+  readonly storeAnswers: () => boolean;
+  readonly counts: DetectorCounts;
+}
+
+/** A report that a witness could not reach a member. */
+export interface WitnessReport {
+  readonly witness: string;
+  readonly incarnation: number;
+  readonly storeAnswers: boolean;
+}
+
+/** All other members; who is not in it is no member. */
+export class MemberTable {
+  private readonly members: ReadonlyMap<string, RemoteMember>;
+
+  constructor(private readonly options: MemberTableOptions) {
+    this.members = new Map(options.others.map((name) => [name, new RemoteMember(name)]));
+  }
+
+  /** A member by its name. */
+  get(name: string): RemoteMember | null {
+    return this.members.get(name) ?? null;
+  }
+
+  /** All members. */
+  all(): IterableIterator<RemoteMember> {
+    return this.members.values();
+  }
+
+  /** A probe was answered; false: the answer is from before the present instance. */
+  reached(member: RemoteMember, answer: ProbeAnswer): boolean {
+    if (member.isOutdated(answer)) return false;
+    const isNewer = answer.instance !== member.instance;
+    if (isNewer) {
+      const isFirst = member.instance === null;
+      member.replaceInstance(answer.instance, answer.incarnation);
+      member.reachedAt = answer.sentAt;
+      this.move(member, 'alive', isFirst ? 'answered' : 'new instance');
+      return true;
+    }
+    member.reachedAt = Math.max(member.reachedAt ?? -Infinity, answer.sentAt);
+    this.refuted(member, answer.incarnation);
+    return true;
+  }
+
+  /** The member is at this incarnation: suspicions of older ones are void. */
+  refuted(member: RemoteMember, incarnation: number): void {
+    if (incarnation <= member.incarnation) return;
+    member.incarnation = incarnation;
+    member.reports.refuted(incarnation);
+    if (member.state !== 'suspect' && member.state !== 'failed') return;
+    const { counts } = this.options;
+    if (member.state === 'suspect') counts.refutations++;
+    else counts.falseFailures++;
+    member.suspicion = null;
+    this.move(member, 'alive', 'refuted');
+  }
+
+  /** This member's own probe failed. */
+  unreached(member: RemoteMember, sentAt: number): void {
+    member.unreachedAt = Math.max(member.unreachedAt ?? -Infinity, sentAt);
+    if (member.state === 'unknown') return;
+    this.suspect(member, this.options.self, 'probe failed');
+  }
+
+  /** Another member's probe failed. Returns whether this is new: a suspicion or a confirmation. */
+  reported(member: RemoteMember, report: WitnessReport): boolean {
+    const { witness, incarnation, storeAnswers } = report;
+    const at = this.options.clock.now();
+    member.reports.add({ kind: 'witness', witness, at, storeAnswers }, incarnation);
+    return this.suspect(member, witness, 'reported by a witness');
+  }
+
+  /** Suspicions that were not refuted in time become failures. */
+  advance(): void {
+    const now = this.options.clock.now();
+    for (const member of this.members.values()) {
+      if (member.state !== 'suspect' || !member.suspicion) continue;
+      if (now >= member.suspicion.endsAt) this.fail(member);
+    }
+  }
+
+  /** What is known of an instance; proofs of life count from `since` on, a steady time in ms. */
+  verdict(member: RemoteMember, instance: string, since: number): Verdict {
+    const { quorum, self, storeAnswers } = this.options;
+    const isReplaced = member.hasEnded(instance, since);
+    const isPresent = member.instance === instance;
+    const newerInstance = isReplaced
+      ? { instance: member.instance ?? '', at: member.reachedAt ?? since }
+      : null;
+    return verdictOf({
+      self,
+      quorum,
+      isSupported: member.state !== 'unknown',
+      newerInstance,
+      reachedAt: isPresent ? member.reachedAt : null,
+      unreachedAt: member.unreachedAt,
+      reports: isPresent ? this.reportsOf(member) : [],
+      since,
+      storeAnswers: storeAnswers(),
+    });
+  }
+
+  /** Reports that are young enough, of witnesses that have not failed themselves. */
+  private reportsOf(member: RemoteMember): ReturnType<RemoteMember['reports']['since']> {
+    const { clock, timing } = this.options;
+    const since = clock.now() - EVIDENCE_INTERVALS * timing.probeIntervalMs;
+    return member.reports
+      .since(since)
+      .filter(({ witness }) => this.get(witness)?.state !== 'failed');
+  }
+
+  private suspect(member: RemoteMember, witness: string, reason: TransitionReason): boolean {
+    if (member.state === 'failed') return false;
+    if (member.suspicion === null) {
+      member.suspicion = this.newSuspicion(member);
+      this.options.counts.suspicions++;
+      this.move(member, 'suspect', reason);
+    }
+    return member.suspicion.confirm(witness);
+  }
+
+  private newSuspicion(member: RemoteMember): Suspicion {
+    const { clock, quorum, timing } = this.options;
+    return new Suspicion(member.incarnation, clock.now(), {
+      leastMs: timing.suspicionLeastMs,
+      mostMs: timing.suspicionMostMs,
+      expectedConfirmations: quorum - 1,
+    });
+  }
+
+  private fail(member: RemoteMember): void {
+    const { clock, counts } = this.options;
+    counts.failures++;
+    counts.detectionMs += clock.now() - (member.reachedAt ?? clock.now());
+    this.move(member, 'failed', 'suspicion timed out');
+  }
+
+  private move(member: RemoteMember, to: MemberState, reason: TransitionReason): void {
+    const { clock, observer, self } = this.options;
+    const from = member.state;
+    member.state = to;
+    const { reachedAt } = member;
+    observer.changed({
+      at: clock.wall(),
+      observer: self,
+      member: member.name,
+      instance: member.instance ?? '',
+      incarnation: member.incarnation,
+      from,
+      to,
+      reason,
+      evidence: this.verdict(member, member.instance ?? '', clock.now()).evidence,
+      silentMs: reachedAt === null ? null : clock.now() - reachedAt,
+    });
+  }
+}
--- /dev/null
+++ b/packages/failure-detector/src/messages.ts
@@ -0,0 +1,79 @@
+/** The messages between detectors, and which of them are passed over. */
+
+import { NAME_LENGTH, UPDATES_PER_MESSAGE } from './constants.js';
+
+/** A rumour about a member: that it lives, or that a witness could not reach it. */
+export interface MemberUpdate {
+  readonly member: string;
+  readonly instance: string;
+  readonly incarnation: number;
+  readonly state: 'alive' | 'suspect';
+  /** Whose probe failed; of `alive` the member itself. */
+  readonly witness: string;
+  /** Whether the shared store answered the witness. */
+  readonly storeAnswers: boolean;
+}
+
+/** What a message asks or tells. */
+export type DetectorBody =
+  | { readonly kind: 'ping'; readonly sequence: number }
+  | { readonly kind: 'ack'; readonly sequence: number }
+  /** Asks the receiver to probe `target`. */
+  | { readonly kind: 'indirectPing'; readonly sequence: number; readonly target: string }
+  /** `instance` and `incarnation`: of the target, where it was reached. */
+  | {
+      readonly kind: 'indirectAck';
+      readonly sequence: number;
+      readonly target: string;
+      readonly isReached: boolean;
+      readonly instance: string;
+      readonly incarnation: number;
+    };
+
+/** A message with what every message says of its sender. */
+export interface DetectorMessage {
+  readonly cluster: string;
+  readonly from: string;
+  readonly instance: string;
+  readonly incarnation: number;
+  readonly updates: readonly MemberUpdate[];
+  readonly body: DetectorBody;
+}
+
+/** Why a message or an update was passed over. */
+export type DropReason =
+  | 'malformed'
+  | 'foreign cluster'
+  | 'unknown member'
+  | 'other instance'
+  | 'old incarnation'
+  | 'no witness';
+
+const isName = (text: string): boolean => text.length > 0 && text.length <= NAME_LENGTH;
+const isCount = (value: number): boolean => Number.isSafeInteger(value) && value >= 0;
+
+function isUpdate(update: MemberUpdate): boolean {
+  const names = [update.member, update.instance, update.witness];
+  return names.every(isName) && isCount(update.incarnation);
+}
+
+/** Why a message can't be used; null: it can. */
+export function objectionTo(
+  message: DetectorMessage,
+  cluster: string,
+  members: ReadonlySet<string>,
+): DropReason | null {
+  const { body, updates } = message;
+  const isSound =
+    isName(message.from) &&
+    isName(message.instance) &&
+    isCount(message.incarnation) &&
+    isCount(body.sequence) &&
+    updates.length <= UPDATES_PER_MESSAGE &&
+    updates.every(isUpdate);
+  if (!isSound) return 'malformed';
+  if (message.cluster !== cluster) return 'foreign cluster';
+  if (!members.has(message.from)) return 'unknown member';
+  if ('target' in body && !members.has(body.target)) return 'unknown member';
+  return null;
+}
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -149,6 +149,27 @@
 /** ms; the leader reads the catalogue again for current spot prices. */
 export const CATALOG_PERIOD_MS = 60_000;
 
+// --- Failure detection -----------------------------------------------------------------------
+
+/** ms; a node whose replica was current so lately counts as answered by the state service: its watches
+ * return every second, and three may fail. */
+export const STORE_ANSWERS_MS = 3_000;
+/** ms; a holder is asked to stand down this often: an answer takes milliseconds. */
+export const STAND_DOWN_RETRY_MS = 1_000;
+/** ms; a holder that stood down and that nobody followed goes on under a new term after this: the one
+ * that asked for it takes the role with its next round, within a second. */
+export const STAND_DOWN_REST_MS = 4_000;
+/** ms; half-life of what lost registrations count against a node that wants its part back. */
+export const FLAP_HALF_LIFE_MS = 60_000;
+/** Losses above which a node leaves its part with the one that has it: the second within a minute. */
+export const FLAP_SUPPRESS = 1.5;
+/** Losses, decayed, below which it takes its part back: 85 s after two. */
+export const FLAP_REUSE = 0.75;
+/** Losses that count at the most, so that no node is damped for longer than two minutes. */
+export const FLAP_MOST = 3;
+/** ms; times of probes are recorded this often. */
+export const PROBE_TIMES_MS = 20_000;
+
 // --- Sizes -----------------------------------------------------------------------------------
 
 /** Bytes that one placed task may take in its chunk's record (number, machine, an attempt of up to 14
@@ -196,6 +217,8 @@
 export const STATE_SOCKETS = 16;
 /** Bytes; a larger frame between peers is taken for a broken peer. */
 export const PEER_FRAME_BYTES = 1024 * 1024;
+/** Bytes of a failure detector's message: eight rumours with the longest names; more is dropped. */
+export const DETECTOR_BYTES = 8 * 1024;
 /** Least part of its equal share of the state service's limits that a node keeps when refused. */
 export const STATE_FLOOR = 0.5;
 /** Share of these limits that one node may use at the most, where the others leave it. */
--- /dev/null
+++ b/test/failure-detector-rules.test.ts
@@ -0,0 +1,187 @@
+/** The failure detector's rules by themselves: quorum, verdicts, time-outs, and what is passed over. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  FailureDetector,
+  quorumOf,
+  Suspicion,
+  verdictOf,
+  type DetectorMessage,
+  type DropReason,
+  type MemberUpdate,
+  type VerdictInput,
+} from '@mothbank/failure-detector';
+import { DETECTOR_BYTES } from '../src/constants.js';
+import { decodeDetector, encodeDetector } from '../src/protocol/detector-codec.js';
+import { DetectorNetwork, TIMING } from './world/detector-network.js';
+
+test('quorum: a majority of the others, three at the most, from 1 to 63 members', () => {
+  const expected = new Map([
+    [1, 0],
+    [2, 1],
+    [3, 2],
+    [4, 2],
+    [5, 3],
+    [6, 3],
+    [63, 3],
+  ]);
+  for (const [members, quorum] of expected) assert.equal(quorumOf(members), quorum);
+  for (let members = 1; members <= 63; members++) assert.ok(quorumOf(members) <= members - 1);
+});
+
+test('a suspicion shortens with independent confirmations, and a witness counts once', () => {
+  const timing = { leastMs: 1000, mostMs: 5000, expectedConfirmations: 2 };
+  const suspicion = new Suspicion(0, 100, timing);
+  const ends: number[] = [];
+  for (const witness of ['a', 'a', 'b', 'b', 'c', 'd']) {
+    suspicion.confirm(witness);
+    ends.push(Math.round(suspicion.endsAt - 100));
+  }
+  assert.deepEqual(ends, [5000, 5000, 2476, 2476, 1000, 1000]);
+});
+
+const BASE: VerdictInput = {
+  self: 'me',
+  quorum: 2,
+  isSupported: true,
+  newerInstance: null,
+  reachedAt: 100,
+  unreachedAt: 200,
+  reports: [{ kind: 'witness', witness: 'other', at: 210, storeAnswers: true }],
+  since: 150,
+  storeAnswers: true,
+};
+const report = (witness: string, storeAnswers = true): VerdictInput['reports'][number] => ({
+  kind: 'witness',
+  witness,
+  at: 210,
+  storeAnswers,
+});
+
+test('verdicts follow from the evidence', () => {
+  const rows: [string, Partial<VerdictInput>, string][] = [
+    ['own probe and one witness', {}, 'failed'],
+    ['no witness', { reports: [] }, 'unconfirmed'],
+    ['a witness twice', { quorum: 3, reports: [report('x'), report('x')] }, 'unconfirmed'],
+    ['witnesses, but no own probe', { unreachedAt: null, quorum: 1 }, 'unconfirmed'],
+    ['an own probe that was answered since', { reachedAt: 200, unreachedAt: 190 }, 'reachable'],
+    ['answered before the registration ended', { unreachedAt: null, reports: [] }, 'unconfirmed'],
+    ['a witness without the store', { reports: [report('x', false)] }, 'unconfirmed'],
+    ['an observer without the store', { storeAnswers: false }, 'unconfirmed'],
+    ['two members: the other one alone', { quorum: 1, reports: [] }, 'failed'],
+    ['never answered a probe', { isSupported: false }, 'unsupported'],
+    ['a later process', { newerInstance: { instance: 'n', at: 220 }, reports: [] }, 'replaced'],
+  ];
+  for (const [name, input, kind] of rows) {
+    const verdict = verdictOf({ ...BASE, ...input });
+    assert.equal(verdict.kind, kind, name);
+    if (kind === 'failed') assert.ok(verdict.evidence.length > 0 && verdict.witnesses.length > 0);
+  }
+});
+
+const suspect = (fields: Partial<MemberUpdate>): MemberUpdate => ({
+  member: 'm1',
+  instance: 'm1-2',
+  incarnation: 0,
+  state: 'suspect',
+  witness: 'm2',
+  storeAnswers: true,
+  ...fields,
+});
+
+test('what can not be used is counted and passed over', async () => {
+  const message = (fields: Partial<DetectorMessage>): DetectorMessage => ({
+    cluster: 'c',
+    from: 'm2',
+    instance: 'm2-3',
+    incarnation: 0,
+    updates: [],
+    body: { kind: 'ack', sequence: 1 },
+    ...fields,
+  });
+  const rumour = (fields: Partial<MemberUpdate>) => message({ updates: [suspect(fields)] });
+  const rows: [DropReason, DetectorMessage][] = [
+    ['foreign cluster', message({ cluster: 'other' })],
+    ['unknown member', message({ from: 'stranger' })],
+    ['unknown member', message({ body: { kind: 'indirectPing', sequence: 1, target: 'x' } })],
+    ['unknown member', rumour({ member: 'stranger' })],
+    ['other instance', rumour({ instance: 'm1-1' })],
+    ['old incarnation', rumour({ incarnation: 0 })],
+    ['no witness', rumour({ incarnation: 9, witness: 'stranger' })],
+    ['no witness', rumour({ incarnation: 9, witness: 'm1' })],
+    ['malformed', message({ from: '' })],
+    ['malformed', message({ incarnation: -1 })],
+    ['malformed', message({ updates: Array.from({ length: 9 }, () => suspect({})) })],
+    ['malformed', rumour({ witness: 'w'.repeat(300) })],
+  ];
+  const network = new DetectorNetwork(['m0', 'm1', 'm2'], 1);
+  await network.run(8);
+  // m1 refutes once, so that rumours about its first incarnation are old.
+  network.hold('m1', 3);
+  await network.run(20);
+  const detector = network.detectors.get('m0');
+  assert.ok(detector instanceof FailureDetector);
+  const before = network.transitions.length;
+  for (const [reason, input] of rows) {
+    const counted: number = detector.counts.dropped[reason];
+    detector.receive(input, () => assert.fail(`answered: ${reason}`));
+    assert.equal(detector.counts.dropped[reason], counted + 1, reason);
+  }
+  await network.run(5);
+  assert.equal(network.transitions.length, before);
+  assert.equal(network.state('m0', 'm1'), 'alive');
+});
+
+test('messages are read as they were written; broken and oversized ones are not', () => {
+  const bodies: DetectorMessage['body'][] = [
+    { kind: 'ping', sequence: 2 ** 40 + 3 },
+    { kind: 'ack', sequence: 0 },
+    { kind: 'indirectPing', sequence: 7, target: 'm1' },
+    {
+      kind: 'indirectAck',
+      sequence: 7,
+      target: 'm1',
+      isReached: true,
+      instance: 'x',
+      incarnation: 4,
+    },
+  ];
+  for (const body of bodies) {
+    const updates = [suspect({}), suspect({ state: 'alive', storeAnswers: false })];
+    const message = { cluster: 'c', from: 'm0', instance: 'i', incarnation: 5, updates, body };
+    const bytes = encodeDetector(message);
+    assert.deepEqual(decodeDetector(bytes), message);
+    for (let length = 1; length < bytes.length; length++) {
+      // Cut off at any place it is either refused or lacks what came last; it never throws.
+      decodeDetector(bytes.subarray(0, length));
+    }
+    assert.equal(decodeDetector(Buffer.concat([bytes, Buffer.alloc(DETECTOR_BYTES)])), null);
+  }
+  for (const noise of ['ff', 'ffffffff', '0affffffff0f', '5a05ffffffffff']) {
+    assert.equal(decodeDetector(Buffer.from(noise, 'hex')), null, noise);
+  }
+});
+
+test('a verdict needs the own probe; with the members of each size a crash is confirmed', async () => {
+  for (const count of [2, 3, 5, 9, 31]) {
+    const names = Array.from({ length: count }, (_, number) => `m${number}`);
+    const network = new DetectorNetwork(names, 7);
+    // Each member is probed by all once in a round.
+    await network.run(count + 8);
+    const killedAt = network.clock.now();
+    network.kill('m1');
+    // A registration ends six seconds after its last renewal.
+    await network.run(6);
+    for (const [observer, detector] of network.detectors) {
+      detector.probe('m1');
+      assert.ok(observer !== 'm1');
+    }
+    await network.run(2);
+    for (const [observer, detector] of network.detectors) {
+      const verdict = detector.verdict('m1', 'm1-2', killedAt + 6000);
+      assert.equal(verdict?.kind, 'failed', `${observer} of ${count}: ${JSON.stringify(verdict)}`);
+      assert.ok(verdict.witnesses.includes(observer));
+    }
+  }
+  assert.ok(TIMING.suspicionMostMs <= 6000);
+});
