--- a/src/coordination/controller.ts
+++ b/src/coordination/controller.ts
@@ -36,10 +36,14 @@
 } from '../transport/http-server.js';
 import { PeerLink, listenPeers, type PeerLinkOptions } from '../transport/peer-link.js';
 import { ControllerNode, type Environment } from './node.js';
+import type { CreateDetection, NodeDetection } from './node/node-detection.js';
 
 /** Connections to the cloud: one for rentals and one for lists. */
 const CLOUD_SOCKETS = 2;
 
+/** Content type of one JSON object a line. */
+const NDJSON = 'application/x-ndjson';
+
 /** Sockets that the node's clients and its server may take. */
 interface SocketShares {
   direct: number;
@@ -57,8 +61,15 @@
     : { status: 503, body: { ready: false }, retryAfterS: RETRY_AFTER_S };
 }
 
+function detectionRoutes(detection: NodeDetection | null): Route[] {
+  if (!detection) return [];
+  const handle = (): HttpReply => ({ status: 200, body: detection.export(), type: NDJSON });
+  return [{ method: 'GET', path: '/detections', handle }];
+}
+
 function routesOf(node: ControllerNode): Route[] {
   return [
+    ...detectionRoutes(node.detection),
     {
       method: 'POST',
       path: '/checkin',
@@ -121,6 +132,13 @@
   return { environment, clients: [stateHttp, watchHttp, cloudHttp, workers] };
 }
 
+/** Failure detection's code, loaded only where it is enabled: a start without it costs nothing. */
+async function loadDetection({ suspicion }: Settings): Promise<CreateDetection> {
+  if (!suspicion) return null;
+  const { FailureDetection } = await import('./suspicion/failure-detection.js');
+  return (options) => new FailureDetection(options, suspicion);
+}
+
 /** A controller with its sockets, on the real clock. */
 export class Controller {
   private constructor(
@@ -136,7 +154,8 @@
     const links = new Map<string, PeerLink>();
     const { environment, clients } = connectEnvironment(settings, direct, links);
     const incarnation = randomUUID();
-    const node = new ControllerNode(settings, environment, log, incarnation);
+    const createDetection = await loadDetection(settings);
+    const node = new ControllerNode({ settings, environment, log, incarnation, createDetection });
     const http = await listenHttp(
       settings.listen,
       routesOf(node),
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -16,7 +16,7 @@
 /** What the planner of assignments gets from its leader's options. */
 type PlannerSettings = Pick<
   AssignmentPlannerOptions,
-  'term' | 'valueBytes' | 'teams' | 'members' | 'startWithinS' | 'supply'
+  'term' | 'valueBytes' | 'teams' | 'members' | 'startWithinS' | 'supply' | 'acceptsNewWork'
 >;
 
 /** What a leader works with in its term. */
--- a/src/coordination/leader/assignment-planner.ts
+++ b/src/coordination/leader/assignment-planner.ts
@@ -36,6 +36,8 @@
   readonly startWithinS: Readonly<Record<string, number>>;
   /** How scarce this node's writes to the state service are. */
   readonly supply: () => Supply;
+  /** Whether a part may get new tasks: not while its owner is suspected. */
+  readonly acceptsNewWork: (part: string) => boolean;
   readonly ledger: Ledger;
   readonly arrivals: RecentArrivals;
   /** Jobs whose changes the state service called invalid. */
@@ -100,7 +102,9 @@
   private createRound(startedAt: number): AssignmentRound {
     const { arrivals, ledger } = this.options;
     const fleet = [...this.inventory.machines().values()];
-    const machines = fleet.filter(({ health }) => health === 'ok');
+    const machines = fleet.filter(
+      ({ health, part }) => health === 'ok' && this.options.acceptsNewWork(part),
+    );
     const gang = arrivals.gangs.largestNotUrgent;
     const reserved = gang ? reservedMachines(gang, machines) : new Set<string>();
     return {
--- a/src/coordination/metrics.ts
+++ b/src/coordination/metrics.ts
@@ -2,6 +2,27 @@
 
 import { Gauge, Registry } from 'prom-client';
 import type { ControllerNode } from './node.js';
+import type { NodeDetection } from './node/node-detection.js';
+
+type AddGauge = (name: string, help: string, read: () => number) => void;
+
+function addDetection(detection: NodeDetection, gauge: AddGauge): void {
+  const { counts, probeCounts } = detection;
+  gauge('suspicions', 'Peers that were suspected', () => counts.suspicions);
+  gauge('suspicions_refuted', 'Suspected peers that answered in time', () => counts.refutations);
+  gauge('failures_detected', 'Peers that were found failed', () => counts.failures);
+  gauge('failures_false', 'Of these, peers that answered again', () => counts.falseFailures);
+  gauge('detection_ms', 'Sum of the time from the last answer to the verdict', () => {
+    return counts.detectionMs;
+  });
+  gauge('probes_sent', 'Probes of peers', () => probeCounts.sent);
+  gauge('probes_failed', 'Probes of peers without an answer', () => probeCounts.failed);
+  gauge('detector_bytes_sent', 'Bytes of probes and answers', () => detection.bytesSent);
+  gauge('detector_messages_dropped', 'Messages and rumours passed over', () =>
+    Object.values(counts.dropped).reduce((sum, one) => sum + one, 0),
+  );
+  gauge('local_health', '0: trusts its own observations', () => detection.localHealthScore);
+}
 
 /** The node's figures in the Prometheus text format; loaded only when they are first asked for. */
 export function metricsOf(node: ControllerNode): () => Promise<string> {
@@ -30,5 +51,7 @@
     machines().reduce((sum, one) => sum + one.waiting, 0),
   );
   gauge('chunks', 'Ranges of tasks of all jobs that are not over', () => node.replica.chunkCount);
+  const { detection } = node;
+  if (detection) addDetection(detection, gauge);
   return () => registry.metrics();
 }
--- a/src/coordination/node.ts
+++ b/src/coordination/node.ts
@@ -16,6 +16,7 @@
 import type { Leader } from './leader.js';
 import { ActiveRoles } from './node/active-roles.js';
 import type { Environment } from './node/environment.js';
+import type { CreateDetection, NodeDetection } from './node/node-detection.js';
 import { createNodeServices, type NodeServices } from './node/node-services.js';
 import { PeerEntry } from './node/peer-entry.js';
 import { PeerRelay } from './node/peer-relay.js';
@@ -35,6 +36,17 @@
   readonly fleet: RoundLoop;
 }
 
+/** What a node is created from. */
+export interface ControllerNodeOptions {
+  readonly settings: Settings;
+  readonly environment: Environment;
+  readonly log: Log;
+  /** Identifies this process among all that ever ran as this node. */
+  readonly incarnation: string;
+  /** Creates failure detection; without it the state service's word alone decides. */
+  readonly createDetection?: CreateDetection;
+}
+
 /** One controller without its sockets: everything that it decides is in here. */
 export class ControllerNode {
   private readonly services: NodeServices;
@@ -47,8 +59,16 @@
   private readonly loops: NodeLoops;
   private readMetrics: (() => Promise<string>) | null = null;
 
-  constructor(settings: Settings, environment: Environment, log: Log, incarnation: string) {
-    const services = createNodeServices({ settings, environment, log, incarnation });
+  constructor(options: ControllerNodeOptions) {
+    const { environment, log, settings } = options;
+    const services = createNodeServices({
+      createDetection: null,
+      ...options,
+      detectionEvents: {
+        onStoodDown: () => this.activeRoles.sync(),
+        onChanged: () => this.loops.roles.wake(),
+      },
+    });
     const { limiter, members, reachability, replica, roles, userRequests } = services;
     const { clock } = environment;
     this.services = services;
@@ -68,7 +88,8 @@
     this.userEntry = new UserEntry(userServices);
     this.workerEntry = new WorkerEntry({ node, clock, members, roles, activeRoles, relay });
     const { userEntry, workerEntry } = this;
-    this.peerEntry = new PeerEntry({ replica, relay, userEntry, workerEntry });
+    const { detection } = services;
+    this.peerEntry = new PeerEntry({ replica, relay, userEntry, workerEntry, detection });
     this.requestLog = new RequestLog({ clock, log, limiter, userRequests });
     this.loops = this.createLoops();
     replica.onChange((keys) => this.storeChanged(keys));
@@ -79,11 +100,13 @@
     void this.replica.follow();
     const { fleet, leader, parts, roles } = this.loops;
     for (const loop of [roles, parts, leader, fleet]) loop.schedule(0);
+    this.detection?.start();
   }
 
   /** Ends the loops and the watch of the state service. */
   stop(): void {
     for (const loop of Object.values(this.loops)) loop.stop();
+    this.detection?.stop();
     this.replica.stop();
   }
 
@@ -92,6 +115,11 @@
     return this.services.replica;
   }
 
+  /** Failure detection between the nodes; null: it is off. */
+  get detection(): NodeDetection | null {
+    return this.services.detection;
+  }
+
   /** The parts that this node owns. */
   get parts(): ReadonlyMap<string, Part> {
     return this.activeRoles.parts;
@@ -171,6 +199,7 @@
   /** One round of each part, one after the other, and what is due periodically beside them. */
   private async runParts(): Promise<void> {
     this.requestLog.writeIfDue();
+    this.detection?.writeIfDue();
     for (const part of [...this.parts.values()]) await part.round();
     this.workerEntry.forgetOldRedirects();
     this.relay.probeSilent();
--- a/src/coordination/node/active-roles.ts
+++ b/src/coordination/node/active-roles.ts
@@ -151,11 +151,12 @@
   }
 
   private createLeader(term: number, writer: GuardedWriter): Leader {
-    const { environment, limiter, log, members, replica, settings } = this.services;
+    const { detection, environment, limiter, log, members, replica, settings } = this.services;
     const { startWithinS, teams, txnOps, valueBytes } = settings;
     const supply = (): Supply => limiter.supply;
-    const options = { term, writer, txnOps, valueBytes, teams, members, startWithinS, supply };
-    return new Leader(options, replica, environment.clock, log);
+    const acceptsNewWork = (part: string): boolean => detection?.acceptsNewWork(part) ?? true;
+    const limits = { txnOps, valueBytes, teams, startWithinS, supply, acceptsNewWork };
+    return new Leader({ term, writer, members, ...limits }, replica, environment.clock, log);
   }
 
   private createFleet(term: number, writer: GuardedWriter): Fleet {
--- a/src/coordination/node/node-services.ts
+++ b/src/coordination/node/node-services.ts
@@ -17,8 +17,10 @@
 import { hash, type Member } from '../rendezvous.js';
 import { graceMs } from '../role-timing.js';
 import { Roles } from '../roles.js';
+import { STORE_ALONE, type TakeoverPolicy } from '../takeover.js';
 import { UserRequests } from '../user-requests.js';
 import type { Environment } from './environment.js';
+import type { CreateDetection, NodeDetection, NodeDetectionOptions } from './node-detection.js';
 import { OwnerNotifier } from './owner-notifier.js';
 
 /** What a node is created from. */
@@ -28,6 +30,10 @@
   readonly log: Log;
   /** Identifies this process among all that ever ran as this node. */
   readonly incarnation: string;
+  /** Creates failure detection; null: it is off. */
+  readonly createDetection: CreateDetection;
+  /** Events of failure detection. */
+  readonly detectionEvents: Pick<NodeDetectionOptions, 'onStoodDown' | 'onChanged'>;
 }
 
 /** The services that the modules of a node share. */
@@ -43,21 +49,24 @@
   readonly replica: StoreReplica;
   readonly committer: Committer;
   readonly roles: Roles;
+  /** Null: it is off. */
+  readonly detection: NodeDetection | null;
   readonly ownerNotifier: OwnerNotifier;
   readonly userRequests: UserRequests;
 }
 
-type StoreServices = Omit<NodeServices, 'roles' | 'ownerNotifier' | 'userRequests'>;
+type StoreServices = Omit<NodeServices, 'roles' | 'detection' | 'ownerNotifier' | 'userRequests'>;
 type RoleServices = Omit<NodeServices, 'userRequests'>;
 
 /** Creates the services of a node. */
 export function createNodeServices(options: NodeOptions): NodeServices {
   const store = createStoreServices(options);
-  const roles = createRoles(store);
+  const detection = createDetection(store, () => roles);
+  const roles = createRoles(store, detection?.policy ?? STORE_ALONE);
   const { environment, settings } = options;
   const { replica } = store;
   const ownerNotifier = new OwnerNotifier({ node: settings.node, environment, roles, replica });
-  const withRoles = { ...store, roles, ownerNotifier };
+  const withRoles = { ...store, roles, detection, ownerNotifier };
   return { ...withRoles, userRequests: createUserRequests(withRoles) };
 }
 
@@ -99,7 +108,16 @@
   return { node, zone };
 }
 
-function createRoles(services: StoreServices): Roles {
+function createDetection(services: StoreServices, roles: () => Roles): NodeDetection | null {
+  const { environment, incarnation, log, members, random, replica, settings } = services;
+  const create = services.createDetection;
+  if (!create) return null;
+  const { node } = settings;
+  const shared = { environment, incarnation, log, members, random, replica };
+  return create({ ...shared, node, roles, ...services.detectionEvents });
+}
+
+function createRoles(services: StoreServices, policy: TakeoverPolicy): Roles {
   const { environment, settings, state } = services;
   const { committer, incarnation, limiter, log, members, replica } = services;
   return new Roles({
@@ -114,6 +132,7 @@
     clock: environment.clock,
     log,
     txnOps: settings.txnOps,
+    policy,
   });
 }
 
--- a/src/coordination/node/peer-entry.ts
+++ b/src/coordination/node/peer-entry.ts
@@ -4,6 +4,7 @@
 import type { StoreReplica } from '../../storage/store-replica.js';
 import type { CancelledJob, PeerMessage } from '../../protocol/peer-messages.js';
 import type { HttpReply } from '../../transport/http-server.js';
+import type { NodeDetection } from './node-detection.js';
 import type { PeerRelay } from './peer-relay.js';
 import type { UserEntry } from './user-entry.js';
 import type { WorkerEntry } from './worker-entry.js';
@@ -16,6 +17,8 @@
   readonly relay: PeerRelay;
   readonly userEntry: UserEntry;
   readonly workerEntry: WorkerEntry;
+  /** Null: failure detection is off, and its messages are passed over. */
+  readonly detection: NodeDetection | null;
 }
 
 /** The entry point of peers' messages. */
@@ -24,7 +27,7 @@
 
   /** Handles a message; `answer` sends one back to its sender. */
   receive(message: PeerMessage, answer: (message: PeerMessage) => void): void {
-    const { relay, replica } = this.options;
+    const { detection, relay, replica } = this.options;
     switch (message.kind) {
       case 'poke':
         if (message.cancelled) this.applyCancellation(message.cancelled, message.revision);
@@ -40,6 +43,11 @@
         return;
       case 'relayed':
         relay.settle(message);
+        return;
+      case 'detector':
+      case 'standDown':
+      case 'stoodDown':
+        detection?.receive(message, answer);
     }
   }
 
--- a/src/coordination/roles.ts
+++ b/src/coordination/roles.ts
@@ -1,6 +1,6 @@
 /** Roles: which node leads and which node owns each part. */
 
-import { HOME_SETTLE_MS, LEADER_SETTLE_MS, MEMBER_RENEW_MS, MEMBER_TTL_MS } from '../constants.js';
+import { MEMBER_RENEW_MS, MEMBER_TTL_MS } from '../constants.js';
 import type { Committer } from '../storage/committer.js';
 import type { RateLimiter } from '../storage/rate-limiter.js';
 import { nodeKey, roleKey } from '../storage/keys.js';
@@ -11,7 +11,10 @@
 import type { Change, Guard, StateApi } from '../protocol/state-api.js';
 import type { Clock } from '../transport/clock.js';
 import { fenceAt, graceMs, type Timing } from './role-timing.js';
-import { orderForLeader, orderForPart, type Member } from './rendezvous.js';
+import type { Member } from './rendezvous.js';
+import { RoleTurns } from './role-turns.js';
+import { StoodDownRoles } from './stood-down-roles.js';
+import type { TakeoverPolicy } from './takeover.js';
 
 /** What the roles of one node rest on. */
 export interface RolesOptions {
@@ -28,6 +31,7 @@
   log: Log;
   /** Changes that one transaction may hold. */
   txnOps: number;
+  policy: TakeoverPolicy;
 }
 
 /** A role that this node holds. `revision`: of the role's key. */
@@ -59,12 +63,15 @@
 /** One ownership for all roles: who holds what, on whose lease, and taking over what is free. */
 export class Roles {
   private lease: number | null = null;
-  private readonly freeSince = new Map<string, number>();
   /** Our roles: term, the revision at which we got it, and when we first saw that. */
   private readonly claims = new Map<string, Claim>();
   private busy = false;
   private renewedAt = -Infinity;
+  /** This process is registered, unless that has ended; a loss is noted once. */
+  private hasRegistration = false;
   private readonly invalidBackoff: InvalidChangeBackoff;
+  private readonly stoodDown: StoodDownRoles;
+  private readonly turns: RoleTurns;
   private readonly self: Member;
   private readonly replica: StoreReplica;
   private readonly clock: Clock;
@@ -79,7 +86,10 @@
     this.replica = replica;
     this.clock = clock;
     this.invalidBackoff = new InvalidChangeBackoff(clock);
+    this.stoodDown = new StoodDownRoles(clock);
     this.startedAt = clock.now();
+    const { invalidBackoff, startedAt, stoodDown } = this;
+    this.turns = new RoleTurns({ ...options, invalidBackoff, startedAt, stoodDown });
     this.grace = graceMs(options.timing);
   }
 
@@ -90,15 +100,6 @@
     ];
   }
 
-  private isLive(node: string, incarnation: string): boolean {
-    return this.replica.get<NodeRecord>(nodeKey(node))?.value.incarnation === incarnation;
-  }
-
-  /** Members that are registered now. */
-  liveNodes(): Member[] {
-    return this.options.members.filter((member) => this.replica.get(nodeKey(member.node)) !== null);
-  }
-
   /** The node that holds a role, whether or not it still lives. */
   ownerOf(role: string): string | null {
     return this.replica.get<RoleRecord>(roleKey(role))?.value.owner ?? null;
@@ -110,6 +111,7 @@
     if (!held || held.value.owner !== this.self.node) return null;
     if (held.value.incarnation !== this.options.incarnation) return null;
     const { term } = held.value;
+    if (this.stoodDown.has(role, term)) return null;
     let claim = this.claims.get(role);
     // Its key may be written anew within the term: what counts is when we got it.
     if (claim?.term !== term) {
@@ -126,6 +128,24 @@
     return this.clock.now() - this.replica.freshAt < this.grace;
   }
 
+  /** Acts and answers no more in a role of ours; false: we don't hold it under this term. */
+  standDown(role: string, term: number): boolean {
+    if (this.owned(role)?.term !== term) return false;
+    this.stoodDown.add(role, term);
+    return true;
+  }
+
+  /** Whether this process gave a role up under this term. */
+  hasStoodDown(role: string, term: number): boolean {
+    return this.stoodDown.has(role, term);
+  }
+
+  /** Whether this process is registered, by what the replica holds. */
+  get isRegistered(): boolean {
+    const { value } = this.replica.get<NodeRecord>(nodeKey(this.self.node)) ?? {};
+    return value?.incarnation === this.options.incarnation;
+  }
+
   /** The steady time from which no machine that did not speak to us has tasks left. */
   fence(owned: Owned): number {
     const claim = this.claims.get(owned.role);
@@ -151,7 +171,7 @@
 
   private async keepLease(): Promise<void> {
     const now = this.clock.now();
-    const registered = this.isLive(this.self.node, this.options.incarnation);
+    const registered = this.isRegistered;
     if (this.lease !== null && registered && (await this.extend(this.lease, now))) return;
     if (this.invalidBackoff.has(REGISTRATION)) return;
     await this.register(now);
@@ -171,6 +191,8 @@
   }
 
   private async register(now: number): Promise<void> {
+    if (this.hasRegistration) this.options.policy.registrationLost();
+    this.hasRegistration = false;
     await this.options.limiter.pass('role', 0);
     const lease = await this.options.api.grant(MEMBER_TTL_MS);
     const { guards, changes } = this.registration(lease);
@@ -180,6 +202,7 @@
     this.invalidBackoff.clear(REGISTRATION);
     this.lease = lease;
     this.renewedAt = now;
+    this.hasRegistration = true;
     this.options.log.info({ roles: guards.map((guard) => guard.key) }, 'registered as a member');
   }
 
@@ -198,18 +221,26 @@
       // What does not fit into the transaction is free for us as for all others right after it.
       if (changes.length >= this.options.txnOps) break;
       const held = this.replica.get<RoleRecord>(roleKey(role));
-      const ours = held?.value.owner === this.self.node;
-      if (
-        ours ? held.value.incarnation === this.options.incarnation : home?.node !== this.self.node
-      ) {
-        continue;
-      }
+      if (!this.comesWithRegistration(role, home, held?.value ?? null)) continue;
       guards.push({ key: roleKey(role), revision: held?.revision ?? 0 });
       changes.push({ key: roleKey(role), value: this.claimRecord(held?.value ?? null) });
     }
     return { guards, changes };
   }
 
+  /** Whether a role is claimed together with the registration. */
+  private comesWithRegistration(
+    role: string,
+    home: Member | null,
+    holder: RoleRecord | null,
+  ): boolean {
+    if (holder?.owner === this.self.node) return holder.incarnation !== this.options.incarnation;
+    if (home?.node !== this.self.node) return false;
+    if (holder === null) return true;
+    if (this.turns.holderLives(holder)) return !this.options.policy.isDamped();
+    return this.turns.mayTakeFrom(role, holder);
+  }
+
   private claimRecord(before: RoleRecord | null): RoleRecord {
     const moved = before !== null && before.owner !== this.self.node;
     return {
@@ -221,9 +252,8 @@
   }
 
   private async takeFree(): Promise<void> {
-    const now = this.clock.now();
     for (const { role, home } of this.all()) {
-      if (this.isOurTurn(role, home, now)) await this.claim(role);
+      if (this.turns.isOurTurn(role, home)) await this.claim(role);
     }
   }
 
@@ -232,38 +262,13 @@
     if (this.owned(role) !== null) await this.claim(role);
   }
 
-  private holderLives(holder: RoleRecord | null): boolean {
-    return holder !== null && this.isLive(holder.owner, holder.incarnation);
-  }
-
-  /** Whether a role should be claimed now. Notes since when it has been free. */
-  private isOurTurn(role: string, home: Member | null, now: number): boolean {
-    const holder = this.replica.get<RoleRecord>(roleKey(role))?.value ?? null;
-    if (holder?.owner === this.self.node && holder.incarnation === this.options.incarnation) {
-      this.freeSince.delete(role);
-      return false;
-    }
-    if (this.invalidBackoff.has(role)) return false;
-    const atHome = home?.node === this.self.node;
-    const mayMoveHome = atHome && now - this.startedAt > HOME_SETTLE_MS;
-    if (this.holderLives(holder) && !mayMoveHome) {
-      this.freeSince.delete(role);
-      return false;
-    }
-    const since = this.freeSince.get(role) ?? now;
-    this.freeSince.set(role, since);
-    const turn = atHome ? 0 : this.turn(role, home);
-    // The first choice takes it at once; the others only if the first does not.
-    return now - since >= turn * MEMBER_RENEW_MS;
-  }
-
   private async claim(role: string): Promise<void> {
     const key = roleKey(role);
     const held = this.replica.get<RoleRecord>(key);
     const holder = held?.value ?? null;
     const guards: Guard[] = [{ key, revision: held?.revision ?? 0 }];
     // A holder that registers again at this moment keeps its role.
-    if (holder !== null && !this.holderLives(holder)) {
+    if (holder !== null && !this.turns.holderLives(holder)) {
       const holderKey = nodeKey(holder.owner);
       guards.push({ key: holderKey, revision: this.replica.revisionOf(holderKey) });
     }
@@ -277,17 +282,4 @@
       'taking a role',
     );
   }
-
-  /** Our place in the order in which nodes take a role. */
-  private turn(role: string, home: Member | null): number {
-    const { members } = this.options;
-    const isStarting = this.clock.now() - this.startedAt < LEADER_SETTLE_MS;
-    // Where all start at once, the first to be up leaves the lead to a better choice for a moment.
-    const candidates = home === null && isStarting ? members : this.liveNodes();
-    const order = home
-      ? orderForPart(role, home, candidates)
-      : orderForLeader(role, candidates, members);
-    const at = order.indexOf(this.self.node);
-    return at < 0 ? order.length : at;
-  }
 }
--- /dev/null
+++ b/src/coordination/stood-down-roles.ts
@@ -0,0 +1,33 @@
+/** Roles that this process gave up when it was asked to, by the term in which it held them. */
+
+import { STAND_DOWN_REST_MS } from '../constants.js';
+import type { Clock } from '../transport/clock.js';
+
+interface StoodDown {
+  readonly term: number;
+  readonly at: number;
+}
+
+/** Under a term that it gave up, this process acts and answers no more, whatever it learns later. */
+export class StoodDownRoles {
+  private readonly terms = new Map<string, StoodDown>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Gives a role up under this term. */
+  add(role: string, term: number): void {
+    this.terms.set(role, { term, at: this.clock.now() });
+  }
+
+  /** Whether this process gave the role up under this term. */
+  has(role: string, term: number): boolean {
+    return this.terms.get(role)?.term === term;
+  }
+
+  /** Whether nobody has followed for so long that this process may go on, under a new term. */
+  isUnclaimed(role: string, term: number): boolean {
+    const stoodDown = this.terms.get(role);
+    if (stoodDown?.term !== term) return false;
+    return this.clock.now() - stoodDown.at >= STAND_DOWN_REST_MS;
+  }
+}
--- /dev/null
+++ b/src/coordination/suspicion/failure-detection.ts
@@ -0,0 +1,167 @@
+/** Failure detection in a controller: the detector on peer links, its policy and its records. */
+
+import { FailureDetector, type DetectorCounts } from '@mothbank/failure-detector';
+import { PROBE_TIMES_MS, STORE_ANSWERS_MS } from '../../constants.js';
+import { decodeDetector, encodeDetector } from '../../protocol/detector-codec.js';
+import type { SuspicionSettings } from '../../protocol/settings.js';
+import type { PeerMessage } from '../../protocol/peer-messages.js';
+import type { NodeDetection, NodeDetectionOptions } from '../node/node-detection.js';
+import { hash } from '../rendezvous.js';
+import { partRole } from '../roles.js';
+import type { TakeoverPolicy } from '../takeover.js';
+import { ConfirmedTakeover } from './confirmed-takeover.js';
+import { DetectionRecords } from './detection-records.js';
+import { StandDown } from './stand-down.js';
+
+type Answer = (message: PeerMessage) => void;
+
+/** Watches the peers of one controller, and decides when a role may be taken from one. */
+export class FailureDetection implements NodeDetection {
+  readonly policy: TakeoverPolicy;
+  /** Bytes of messages that were sent. */
+  bytesSent = 0;
+  private readonly detector: FailureDetector;
+  private readonly standDown: StandDown;
+  private readonly records: DetectionRecords;
+  private timesWrittenAt = -Infinity;
+
+  constructor(
+    private readonly options: NodeDetectionOptions,
+    private readonly suspicion: SuspicionSettings,
+  ) {
+    const { environment, log } = options;
+    this.records = new DetectionRecords(suspicion.history, log);
+    this.detector = this.createDetector();
+    this.standDown = this.createStandDown();
+    this.policy = new ConfirmedTakeover({
+      detector: this.detector,
+      standDown: this.standDown,
+      clock: environment.clock,
+      confirmWithinMs: suspicion.confirmWithinMs,
+      onDecision: (decision) => {
+        const { clock } = environment;
+        const { node } = options;
+        this.records.add({ type: 'decision', at: clock.wall(), observer: node, ...decision });
+      },
+    });
+  }
+
+  /** Counts since the start. */
+  get counts(): DetectorCounts {
+    return this.detector.counts;
+  }
+
+  /** Probes that were sent and that failed. */
+  get probeCounts(): { readonly sent: number; readonly failed: number } {
+    return this.detector.probeCounts;
+  }
+
+  /** 0: this node trusts its own observations wholly. */
+  get localHealthScore(): number {
+    return this.detector.localHealthScore;
+  }
+
+  start(): void {
+    this.detector.start();
+  }
+
+  stop(): void {
+    this.detector.stop();
+  }
+
+  receive(message: PeerMessage, answer: Answer): void {
+    if (message.kind === 'detector') this.receiveDetector(message.payload, answer);
+    else if (message.kind === 'standDown') this.standDown.asked(message, answer);
+    else if (message.kind === 'stoodDown') this.standDown.answered(message);
+  }
+
+  /** A suspected owner's part keeps what it runs and gets nothing new, for a bounded time. */
+  acceptsNewWork(part: string): boolean {
+    const { environment, node, roles } = this.options;
+    const owner = roles().ownerOf(partRole(part));
+    if (owner === null || owner === node) return true;
+    const since = this.detector.suspectedSince(owner);
+    if (since === null) return true;
+    return environment.clock.now() - since >= this.suspicion.holdNewWorkMs;
+  }
+
+  writeIfDue(): void {
+    const { clock } = this.options.environment;
+    if (clock.now() - this.timesWrittenAt < PROBE_TIMES_MS) return;
+    this.timesWrittenAt = clock.now();
+    const localHealth = this.detector.localHealthScore;
+    for (const times of this.detector.takeProbeTimes()) {
+      if (times.roundTripsMs.length === 0) continue;
+      const observer = this.options.node;
+      this.records.add({ type: 'probeTimes', at: clock.wall(), observer, localHealth, ...times });
+    }
+  }
+
+  export(): string {
+    return this.records.export();
+  }
+
+  private createDetector(): FailureDetector {
+    const { environment, incarnation, members, node, random } = this.options;
+    const names = members.map((member) => member.node);
+    return new FailureDetector({
+      self: node,
+      instance: incarnation,
+      members: names,
+      cluster: String(hash([...names].sort().join(' '))),
+      timing: this.suspicion,
+      quorum: this.suspicion.quorum,
+      clock: environment.clock,
+      random,
+      transport: {
+        send: (peer, message) => {
+          const payload = encodeDetector(message);
+          const isSent = environment.sendToPeer(peer, { kind: 'detector', payload });
+          if (isSent) this.bytesSent += payload.length;
+          return isSent;
+        },
+      },
+      observer: {
+        changed: (transition) => {
+          this.records.add({ type: 'transition', ...transition });
+          this.options.onChanged();
+        },
+      },
+      storeAnswers: () => this.storeAnswers(),
+    });
+  }
+
+  private createStandDown(): StandDown {
+    const { environment, incarnation, log, members, node } = this.options;
+    return new StandDown({
+      node,
+      incarnation,
+      members: new Set(members.map((member) => member.node)),
+      clock: environment.clock,
+      log,
+      send: (peer, message) => environment.sendToPeer(peer, message),
+      storeAnswers: () => this.storeAnswers(),
+      roles: this.options.roles,
+      onStoodDown: () => this.options.onStoodDown(),
+      onConfirmed: () => this.options.onChanged(),
+    });
+  }
+
+  private storeAnswers(): boolean {
+    const { environment, replica } = this.options;
+    return environment.clock.now() - replica.freshAt < STORE_ANSWERS_MS;
+  }
+
+  private receiveDetector(payload: Uint8Array, answer: Answer): void {
+    const message = decodeDetector(payload);
+    if (message === null) {
+      this.detector.receiveMalformed();
+      return;
+    }
+    this.detector.receive(message, (reply) => {
+      const encoded = encodeDetector(reply);
+      this.bytesSent += encoded.length;
+      answer({ kind: 'detector', payload: encoded });
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/suspicion/stand-down.ts
@@ -0,0 +1,72 @@
+/** Asks holders without a registration to give their roles up, and gives up this node's when asked. */
+
+import { STAND_DOWN_RETRY_MS } from '../../constants.js';
+import type { PeerMessage, RoleTenure } from '../../protocol/peer-messages.js';
+import type { Log } from '../../storage/log.js';
+import type { Clock } from '../../transport/clock.js';
+import type { LapsedHolder } from '../takeover.js';
+import type { Roles } from '../roles.js';
+
+/** What standing down works with. */
+export interface StandDownOptions {
+  readonly node: string;
+  readonly incarnation: string;
+  /** Names of all members. */
+  readonly members: ReadonlySet<string>;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly send: (peer: string, message: PeerMessage) => boolean;
+  /** Whether the state service answers this node. */
+  readonly storeAnswers: () => boolean;
+  readonly roles: () => Roles;
+  /** This node gave a role up: nothing may act in it any more. */
+  readonly onStoodDown: () => void;
+  /** A holder gave a role up: it can be taken. */
+  readonly onConfirmed: () => void;
+}
+
+const keyOf = ({ role, term, incarnation }: Omit<RoleTenure, 'node'>): string =>
+  `${role} ${term} ${incarnation}`;
+
+/** Both sides of standing down. A lost or repeated message does no harm: an answer names its term. */
+export class StandDown {
+  /** The latest answer by role: older ones are of terms that are over. */
+  private readonly confirmed = new Map<string, string>();
+  private readonly askedAt = new Map<string, number>();
+
+  constructor(private readonly options: StandDownOptions) {}
+
+  /** Whether a holder said that it gave the role up. */
+  isConfirmed(holder: LapsedHolder): boolean {
+    return this.confirmed.get(holder.role) === keyOf(holder);
+  }
+
+  /** Asks a holder, again after a while. */
+  ask({ incarnation, node, role, term }: LapsedHolder): void {
+    const { clock, send } = this.options;
+    const now = clock.now();
+    if (now - (this.askedAt.get(role) ?? -Infinity) < STAND_DOWN_RETRY_MS) return;
+    this.askedAt.set(role, now);
+    send(node, { kind: 'standDown', node: this.options.node, role, term, incarnation });
+  }
+
+  /** A peer asks this node to give a role up. */
+  asked(tenure: RoleTenure, answer: (message: PeerMessage) => void): void {
+    const { incarnation, log, members, node, onStoodDown, roles, storeAnswers } = this.options;
+    if (!members.has(tenure.node) || tenure.incarnation !== incarnation) return;
+    // What the peer saw is over: this node is registered, and by the state service's own word.
+    if (roles().isRegistered && storeAnswers()) return;
+    const { role, term } = tenure;
+    if (!roles().standDown(role, term) && !roles().hasStoodDown(role, term)) return;
+    onStoodDown();
+    log.info({ role, term, for: tenure.node }, 'stood down');
+    answer({ kind: 'stoodDown', node, role, term, incarnation });
+  }
+
+  /** A holder answers that it gave a role up. */
+  answered(tenure: RoleTenure): void {
+    if (!this.options.members.has(tenure.node)) return;
+    this.confirmed.set(tenure.role, keyOf(tenure));
+    this.options.onConfirmed();
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -14,13 +14,13 @@
 
 interface CommandLine {
   config: string;
-  operators?: string;
+  operators: string[];
   check?: boolean;
 }
 
-function loadSettings(config: string, operators: string | undefined): Settings {
+function loadSettings({ config, operators }: CommandLine): Settings {
   try {
-    return readSettings(config, operators ?? null);
+    return readSettings(config, operators);
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     process.stderr.write(`mothbank: ${error.message}\n`);
@@ -33,7 +33,12 @@
     .description('One controller of a mothbank cluster.')
     .version(VERSION)
     .requiredOption('--config <file>', 'the settings file that the platform hands over (TOML)')
-    .option('--operators <file>', "the operators' own settings (TOML)")
+    .option(
+      '--operators <file>',
+      "the operators' own settings (TOML); repeatable",
+      (file: string, others: string[]) => [...others, file],
+      [],
+    )
     .option('--check', 'check the settings and exit')
     .addHelpText('after', '\nLOG_LEVEL sets what is written to stderr: error, info or debug.');
   program.parse();
@@ -50,7 +55,7 @@
 
 async function main(): Promise<void> {
   const options = parseCommandLine();
-  const settings = loadSettings(options.config, options.operators);
+  const settings = loadSettings(options);
   if (options.check) {
     process.stdout.write('settings are good\n');
     return;
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -1,6 +1,14 @@
 /** The messages between controllers, in the protobuf encoding. Their field numbers never change. */
 
 import protobuf from 'protobufjs/minimal.js';
+import {
+  DELIMITED,
+  delimited,
+  VARINT,
+  varint,
+  WIRE_TYPE_BITS,
+  WIRE_TYPE_MASK,
+} from './protobuf-tags.js';
 
 const { Reader, Writer } = protobuf;
 
@@ -14,7 +22,22 @@
   /** A worker's or user's request that the sender can't serve itself. */
   | { kind: 'relay'; id: number; ask: Ask; about: string; text: string }
   /** `isProven`: a refusal rests on a proof that the job is absent; older versions don't say so. */
-  | { kind: 'relayed'; id: number; status: number; body: string; isProven: boolean };
+  | { kind: 'relayed'; id: number; status: number; body: string; isProven: boolean }
+  /** A message of the failure detector, as its own codec has it. */
+  | { kind: 'detector'; payload: Uint8Array }
+  /** The sender sees that the receiver's registration has ended, and asks it to give a role up. */
+  | ({ kind: 'standDown' } & RoleTenure)
+  /** The sender acts and answers no more under this term, and takes nothing up under it. */
+  | ({ kind: 'stoodDown' } & RoleTenure);
+
+/** A role that a process held under a term. `node`: the sender of the message. */
+export interface RoleTenure {
+  node: string;
+  role: string;
+  term: number;
+  /** Tells the process that holds or held the role from others of the same node. */
+  incarnation: string;
+}
 
 /** A job that was cancelled, and how many tasks it had. */
 export interface CancelledJob {
@@ -31,17 +54,9 @@
 const POKE = 1;
 const RELAY = 2;
 const RELAYED = 3;
-
-/** Protobuf's wire types of the fields used here. */
-const VARINT = 0;
-const DELIMITED = 2;
-
-/** The low bits of a protobuf tag that hold the wire type; the others hold the field number. */
-const WIRE_TYPE_BITS = 3;
-const WIRE_TYPE_MASK = 7;
-
-const varint = (field: number): number => (field << WIRE_TYPE_BITS) | VARINT;
-const delimited = (field: number): number => (field << WIRE_TYPE_BITS) | DELIMITED;
+const DETECTOR = 4;
+const STAND_DOWN = 5;
+const STOOD_DOWN = 6;
 
 type Message<Kind extends PeerMessage['kind']> = Extract<PeerMessage, { kind: Kind }>;
 
@@ -70,8 +85,24 @@
   if (message.isProven) writer.uint32(varint(4)).uint32(1);
 }
 
+function writeTenure(writer: protobuf.Writer, kind: number, tenure: RoleTenure): void {
+  writer.uint32(delimited(kind)).fork();
+  writer.uint32(delimited(1)).string(tenure.node);
+  writer.uint32(delimited(2)).string(tenure.role);
+  writer.uint32(varint(3)).uint64(tenure.term);
+  writer.uint32(delimited(4)).string(tenure.incarnation);
+}
+
+/** Its payload is written as it is: it has a codec of its own. */
+function encodeDetectorFrame({ payload }: Message<'detector'>): Uint8Array {
+  const writer = Writer.create().fork();
+  writer.uint32(delimited(DETECTOR)).bytes(payload);
+  return writer.ldelim().finish();
+}
+
 /** A message as a frame, led by its length. */
 export function encodePeer(message: PeerMessage): Uint8Array {
+  if (message.kind === 'detector') return encodeDetectorFrame(message);
   const writer = Writer.create();
   writer.fork();
   switch (message.kind) {
@@ -84,6 +115,12 @@
     case 'relayed':
       writeRelayed(writer, message);
       break;
+    case 'standDown':
+      writeTenure(writer, STAND_DOWN, message);
+      break;
+    case 'stoodDown':
+      writeTenure(writer, STOOD_DOWN, message);
+      break;
   }
   writer.ldelim();
   writer.ldelim();
@@ -109,6 +146,7 @@
   const reader = Reader.create(frame);
   if (reader.len === 0) return null;
   const kind = reader.uint32() >>> WIRE_TYPE_BITS;
+  if (kind === DETECTOR) return { kind: 'detector', payload: reader.bytes() };
   const end = reader.uint32() + reader.pos;
   const fields = readFields(reader, end);
   const text = (field: number): string => String(fields[field] ?? '');
@@ -133,6 +171,15 @@
         body: text(3),
         isProven: integer(4) === 1,
       };
+    case STAND_DOWN:
+    case STOOD_DOWN:
+      return {
+        kind: kind === STAND_DOWN ? 'standDown' : 'stoodDown',
+        node: text(1),
+        role: text(2),
+        term: integer(3),
+        incarnation: text(4),
+      };
     default:
       return null;
   }
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,13 +1,19 @@
 /** Reads and checks the settings: the file that the platform hands over, and the operators' own. */
 
-import { readFileSync } from 'node:fs';
-import { parse } from 'smol-toml';
 import * as v from 'valibot';
-import { GANG_PEER_S, GANG_WAIT_S, VALUE_KB_LEAST } from '../constants.js';
+import { ATTEMPT_PARTS, GANG_PEER_S, GANG_WAIT_S, VALUE_KB_LEAST } from '../constants.js';
+import {
+  readOperatorSettings,
+  type FleetSettings,
+  type PlacementSettings,
+  type SuspicionSettings,
+} from './operator-settings.js';
+import { amount, checkFile, positive, readToml, SettingsError } from './settings-file.js';
+
+export { SettingsError } from './settings-file.js';
+export type { SuspicionSettings } from './operator-settings.js';
 
 const address = v.pipe(v.string(), v.regex(/^[^:]+:\d{1,5}$/, 'must be ADDRESS:PORT'));
-const positive = v.pipe(v.number(), v.finite(), v.gtValue(0));
-const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 
 /** The limits of the state service. Names in these schemas are those of the files. */
 const stateLimits = {
@@ -68,27 +74,6 @@
   }),
 });
 
-/** The operators' own file; every field has a default, and docs/operations.md explains each. */
-const operators = v.object({
-  placement: v.optional(
-    v.object({
-      alpha: v.optional(amount, 2),
-      penalty: v.optional(positive, 2),
-      snapshot_s: v.optional(positive, 30),
-    }),
-    {},
-  ),
-  fleet: v.optional(
-    v.object({
-      idle_s: v.optional(amount, 12),
-      headroom_cpus: v.optional(amount, 6),
-      spot: v.optional(v.boolean(), true),
-      max_machines: v.optional(positive, 20_000),
-    }),
-    {},
-  ),
-});
-
 /** A team's share of the cluster: what it is owed, and the most that it may use. */
 export interface Team {
   name: string;
@@ -127,46 +112,15 @@
   cloudRps: number;
   listLagS: number;
   sockets: number;
-  placement: { alpha: number; penalty: number; snapshotS: number };
-  fleet: { idleS: number; headroomCpus: number; spot: boolean; maxMachines: number };
-}
-
-/** Settings that can't be used; the message is one line that names file and field. */
-export class SettingsError extends Error {
-  constructor(file: string, reason: string) {
-    super(`${file}: ${reason.split('\n')[0]}`);
-    this.name = 'SettingsError';
-  }
-}
-
-function readToml(file: string): unknown {
-  let text: string;
-  try {
-    text = readFileSync(file, 'utf8');
-  } catch (error) {
-    throw new SettingsError(file, `can't be read (${(error as NodeJS.ErrnoException).code})`);
-  }
-  try {
-    return parse(text);
-  } catch (error) {
-    throw new SettingsError(file, `no TOML: ${(error as Error).message}`);
-  }
+  placement: PlacementSettings;
+  fleet: FleetSettings;
+  /** Failure detection between controllers; null: off. */
+  suspicion: SuspicionSettings | null;
 }
 
 type PlatformFile = v.InferOutput<typeof platform>;
 type Params = PlatformFile['params'];
 
-function check<Schema extends v.GenericSchema>(
-  file: string,
-  schema: Schema,
-  raw: unknown,
-): v.InferOutput<Schema> {
-  const result = v.safeParse(schema, raw);
-  if (result.success) return result.output;
-  const issue = result.issues[0];
-  throw new SettingsError(file, `${v.getDotPath(issue) ?? 'file'}: ${issue.message}`);
-}
-
 /** What no schema says: relations between fields. */
 function checkRelations(file: string, raw: PlatformFile): void {
   const { workers } = raw.params;
@@ -177,6 +131,10 @@
   if (new Set(names).size !== names.length) {
     throw new SettingsError(file, 'members.node_name: a name stands twice');
   }
+  // Attempts carry the number of the part that made them, and the leader's number beside them.
+  if (names.length >= ATTEMPT_PARTS) {
+    throw new SettingsError(file, `members: more than ${ATTEMPT_PARTS - 1} controllers`);
+  }
 }
 
 function readStartWithin(objectives: Params['objectives']): Record<string, number> {
@@ -226,31 +184,12 @@
   };
 }
 
-type OwnSettings = Pick<Settings, 'placement' | 'fleet'>;
-
-function readOwn(own: v.InferOutput<typeof operators>): OwnSettings {
-  return {
-    placement: {
-      alpha: own.placement.alpha,
-      penalty: own.placement.penalty,
-      snapshotS: own.placement.snapshot_s,
-    },
-    fleet: {
-      idleS: own.fleet.idle_s,
-      headroomCpus: own.fleet.headroom_cpus,
-      spot: own.fleet.spot,
-      maxMachines: own.fleet.max_machines,
-    },
-  };
-}
-
-/** Reads both files; throws `SettingsError` at the first fault. */
-export function readSettings(platformFile: string, operatorsFile: string | null): Settings {
-  const raw = check(platformFile, platform, readToml(platformFile));
-  const rawOwn = operatorsFile === null ? {} : readToml(operatorsFile);
-  const own = check(operatorsFile ?? 'defaults', operators, rawOwn);
+/** Reads all files; throws `SettingsError` at the first fault. */
+export function readSettings(platformFile: string, operatorFiles: readonly string[]): Settings {
+  const raw = checkFile(platformFile, platform, readToml(platformFile));
   checkRelations(platformFile, raw);
   const { params } = raw;
+  const own = readOperatorSettings(operatorFiles, raw.members.length + 1);
   return {
     node: raw.node_name,
     zone: raw.site,
@@ -272,6 +211,6 @@
     cloudRps: params.cloud.rps,
     listLagS: params.cloud.list_lag_s,
     sockets: params.resources.fd_limit,
-    ...readOwn(own),
+    ...own,
   };
 }
--- a/test/gang-input.test.ts
+++ b/test/gang-input.test.ts
@@ -238,7 +238,7 @@
   for (const { place, lines, field } of BAD) {
     const file = settingsWith(place, lines);
     assert.throws(
-      () => readSettings(file, null),
+      () => readSettings(file, []),
       (error: Error) => {
         assert.ok(error.message.startsWith(`${file}: ${field}: `), `${lines}: ${error.message}`);
         assert.ok(!error.message.includes('\n'), lines);
@@ -268,7 +268,7 @@
 
 test('gang input: settings that say nothing of gangs or coming limits are good', () => {
   const file = settingsWith('workers', '');
-  const settings = readSettings(file, null);
+  const settings = readSettings(file, []);
   const { stateRps, stateWriteRps, valueBytes, txnOps } = settings;
   assert.deepEqual([stateRps, stateWriteRps, valueBytes, txnOps], [150, 60, 8192, 32]);
   const run = spawnSync(process.execPath, [MAIN, '--check', '--config', file], {
--- a/test/rules-controllers.test.ts
+++ b/test/rules-controllers.test.ts
@@ -1,6 +1,7 @@
 /** The rules hold through troubles of controllers and of the state service. */
 import { test } from 'node:test';
 import { playCase, type RuleCase } from './world/rule-case.js';
+import { WATCHFUL } from './world/suspicion.js';
 
 const CASES: RuleCase[] = [
   { name: 'a quiet day', trouble: (world) => world.run(20) },
@@ -108,4 +109,5 @@
   for (const seed of [1, 2]) {
     test(`rules hold and work gets done: ${one.name} (seed ${seed})`, () => playCase(one, seed));
   }
+  test(`rules hold with failure detection: ${one.name}`, () => playCase(one, 3, WATCHFUL));
 }
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -40,6 +40,55 @@
 fd_limit = 1500
 `;
 
+/** Further members, numbered from 2. */
+const members = (last: number): string =>
+  Array.from(
+    { length: last - 1 },
+    (_, at) => `[[members]]\nnode_name = "moth-${at + 2}"\nsite = "a"\npeer_addr = "127.0.0.1:1"\n`,
+  ).join('');
+
+/** What can't stand in the section, and the key that the message must name. */
+const FAULTY_SUSPICION: [string, string][] = [
+  ['probe_intervall_s = 1.0', 'probe_intervall_s'],
+  ['probe_interval_s = 0', 'probe_interval_s'],
+  ['probe_timeout_s = -0.5', 'probe_timeout_s'],
+  ['probe_timeout_s = 2.0', 'probe_timeout_s'],
+  ['suspicion_least_s = "long"', 'suspicion_least_s'],
+  ['suspicion_least_s = 5.5\nsuspicion_most_s = 5.0', 'suspicion_least_s'],
+  ['suspicion_most_s = 7.0', 'suspicion_most_s'],
+  ['confirm_within_s = 60.0', 'confirm_within_s'],
+  ['hold_new_work_s = -1.0', 'hold_new_work_s'],
+  ['quorum = 0', 'quorum'],
+  ['quorum = 1.5', 'quorum'],
+  ['quorum = 2', 'quorum'],
+  ['history = 0', 'history'],
+  ['enabled = "yes"', 'enabled'],
+];
+
+test('settings: operators give several files, of which each section stands in one', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'mothbank-'));
+  const write = (name: string, text: string): string => {
+    const file = join(folder, name);
+    writeFileSync(file, text);
+    return file;
+  };
+  const platform = write('settings.toml', SETTINGS);
+  const fleet = write('fleet.toml', '[fleet]\nidle_s = 7.0\n');
+  const suspicion = write('suspicion.toml', '[suspicion]\nquorum = 1\n');
+  const off = write('off.toml', '[suspicion]\nenabled = false\n');
+  const both = readSettings(platform, [fleet, suspicion]);
+  assert.deepEqual([both.fleet.idleS, both.suspicion?.quorum], [7, 1]);
+  assert.equal(readSettings(platform, [fleet]).suspicion, null);
+  assert.equal(readSettings(platform, [off]).suspicion, null);
+  assert.notEqual(readSettings(platform, ['deploy/suspicion.toml']).suspicion, null);
+  assert.throws(
+    () => readSettings(platform, [suspicion, fleet, off]),
+    /off\.toml: suspicion: stands in another file too/,
+  );
+  const others = (text: string): string => write('many.toml', `${text}${members(62)}`);
+  assert.equal(readSettings(others(SETTINGS), []).peers.length, 62);
+});
+
 test('settings: good ones are read, bad ones told in one line with file and field', () => {
   const folder = mkdtempSync(join(tmpdir(), 'mothbank-'));
   const file = join(folder, 'settings.toml');
@@ -47,7 +96,7 @@
   const read = (text: string, operators: string | null = null) => {
     writeFileSync(file, text);
     if (operators !== null) writeFileSync(own, operators);
-    return readSettings(file, operators === null ? null : own);
+    return readSettings(file, operators === null ? [] : [own]);
   };
   const settings = read(SETTINGS, '[placement]\nalpha = 0.5\n');
   assert.equal(settings.leaseS, 24);
@@ -84,6 +133,12 @@
     [SETTINGS.replace('cancel_s = 54.0', 'cancel_s = 24.0'), null, /params\.workers\.cancel_s/],
     [SETTINGS.replace('"moth-1"', '"moth-0"'), null, /members\.node_name/],
     [SETTINGS, '[fleet]\nidle_s = -1\n', /operators\.toml: fleet\.idle_s/],
+    ...FAULTY_SUSPICION.map(([text, key]): [string, string, RegExp] => [
+      SETTINGS,
+      `[suspicion]\n${text}\n`,
+      new RegExp(`operators\\.toml: suspicion\\.${key}: `),
+    ]),
+    [`${SETTINGS}${members(63)}`, null, /settings\.toml: members: more than 63 controllers/],
   ];
   for (const [text, operators, message] of cases) {
     assert.throws(
@@ -95,7 +150,7 @@
       },
     );
   }
-  assert.throws(() => readSettings(join(folder, 'none.toml'), null), /none\.toml: can't be read/);
+  assert.throws(() => readSettings(join(folder, 'none.toml'), []), /none\.toml: can't be read/);
 });
 
 test('the version is the one that package.json has', () => {
--- /dev/null
+++ b/test/suspicion-cuts.test.ts
@@ -0,0 +1,147 @@
+/** Nodes that lose one another or the state service, with failure detection: when roles are taken. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { playRow, split, tenures, type SuspicionRow } from './world/suspicion.js';
+import type { World } from './world/world.js';
+
+const CONFIRMED = 'failure confirmed by a quorum';
+const STORE_ALONE = 'not confirmed in time: by the state service alone';
+const STOOD_DOWN = 'stood down';
+const REPLACED = 'a later process answers';
+
+const nodes = (world: World): string[] => world.members.map(([name]) => name);
+
+const ROWS: SuspicionRow[] = [
+  {
+    name: 'peers can not reach each other, the state service reaches all',
+    keepsTerms: true,
+    trouble: async ({ world }) => {
+      for (const name of nodes(world)) split(world, [name]);
+      await world.run(60);
+      assert.equal(world.starts.length >= 18, true, `${world.starts.length} tasks started`);
+      world.cuts.clear();
+      await world.run(10);
+    },
+  },
+  {
+    name: 'two zones can not reach each other, the state service reaches both',
+    keepsTerms: true,
+    trouble: async ({ world }) => {
+      split(world, ['n2']);
+      await world.run(60);
+      world.cuts.clear();
+      await world.run(10);
+    },
+  },
+  {
+    name: 'a split, the state service reaches one half',
+    reasons: [CONFIRMED],
+    restarts: 8,
+    trouble: async ({ world }) => {
+      split(world, ['n2']);
+      world.state.refused.add('n2');
+      await world.run(60);
+      assert.doesNotMatch(Object.values(tenures(world)).join(), /n2/);
+      world.cuts.clear();
+      world.state.refused.clear();
+      await world.run(20);
+    },
+  },
+  {
+    name: 'a split, the state service reaches nobody',
+    keepsTerms: true,
+    trouble: async ({ world }) => {
+      split(world, ['n2']);
+      world.state.outage = true;
+      await world.run(25);
+      world.state.endOutage();
+      world.cuts.clear();
+      await world.run(20);
+    },
+  },
+  {
+    name: 'a node that the state service alone refuses stands down',
+    reasons: [STOOD_DOWN],
+    trouble: async ({ world, stoodDown }) => {
+      world.state.refused.add('n1');
+      await world.run(40);
+      assert.ok(stoodDown.includes('n1 part-n1'), stoodDown.join());
+      assert.doesNotMatch(Object.values(tenures(world)).join(), /n1 /);
+      world.state.refused.clear();
+      await world.run(20);
+      assert.match(tenures(world)['part-n1'] ?? '', /^n1 /);
+    },
+  },
+  {
+    name: 'the answer of a node that stood down is lost: the wait ends',
+    reasons: [STORE_ALONE],
+    trouble: async ({ world }) => {
+      world.onPeerMessage = (message) =>
+        message.kind === 'stoodDown' ? { ...message, role: 'lost' } : message;
+      world.state.refused.add('n1');
+      await world.run(40);
+      assert.doesNotMatch(Object.values(tenures(world)).join(), /n1 /);
+      world.state.refused.clear();
+      await world.run(20);
+    },
+  },
+  {
+    name: 'back as a new process that the state service refuses',
+    reasons: [REPLACED],
+    trouble: async ({ world }) => {
+      world.kill('n1');
+      world.state.refused.add('n1');
+      world.boot('n1');
+      await world.run(12);
+      assert.doesNotMatch(Object.values(tenures(world)).join(), /n1 /);
+      world.state.refused.clear();
+      await world.run(20);
+    },
+  },
+  {
+    name: 'a node that loses its registration again and again leaves its part with another',
+    trouble: async ({ world }) => {
+      const owners: string[] = [];
+      for (let turn = 0; turn < 4; turn++) {
+        world.state.refused.add('n1');
+        await world.run(12);
+        world.state.refused.clear();
+        await world.run(8);
+        owners.push(tenures(world)['part-n1']?.split(' ')[0] ?? '');
+      }
+      assert.equal(owners[0], 'n1');
+      for (const owner of owners.slice(1)) assert.notEqual(owner, 'n1');
+      await world.run(150);
+      assert.match(tenures(world)['part-n1'] ?? '', /^n1 /);
+    },
+  },
+  {
+    name: 'what one node sends another is lost',
+    keepsTerms: true,
+    trouble: async ({ world }) => {
+      world.lostOneWay.add('n0>n1');
+      await world.run(40);
+      world.lostOneWay.clear();
+      await world.run(5);
+    },
+  },
+  {
+    name: 'a late request to stand down meets a node that is registered',
+    keepsTerms: true,
+    trouble: async ({ world }) => {
+      const incarnation = 'n1-2';
+      const tenure = { node: 'n0', role: 'part-n1', term: 1, incarnation };
+      for (const fields of [{}, { term: 7 }, { incarnation: 'x' }, { node: 'stranger' }]) {
+        const message = { kind: 'standDown' as const, ...tenure, ...fields };
+        world.nodes.get('n1')?.node.receive(message, () => assert.fail('stood down'));
+      }
+      await world.run(10);
+    },
+  },
+];
+
+for (const row of ROWS) {
+  test(`suspicion: ${row.name}`, async () => {
+    for (const seed of [1, 2]) await playRow(row, seed);
+  });
+}
--- /dev/null
+++ b/test/suspicion-off.test.ts
@@ -0,0 +1,55 @@
+/** Failure detection that is off costs nothing: it is not loaded, and says nothing. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { dirname, join } from 'node:path';
+import { test } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import type { PeerMessage } from '../src/protocol/peer-messages.js';
+import { WATCHFUL } from './world/suspicion.js';
+import { World } from './world/world.js';
+
+const here = dirname(fileURLToPath(import.meta.url));
+const STATIC_IMPORT = /^(?:import|export)[^;]*?from '([^']+)';|^import '([^']+)';/gm;
+
+/** All modules that a start loads: those that are imported statically, from a compiled module on. */
+function loadedBy(file: string, loaded = new Set<string>()): Set<string> {
+  if (loaded.has(file)) return loaded;
+  loaded.add(file);
+  for (const [, from, alone] of readFileSync(file, 'utf8').matchAll(STATIC_IMPORT)) {
+    const name = from ?? alone ?? '';
+    if (name.startsWith('.')) loadedBy(join(dirname(file), name), loaded);
+    else loaded.add(name);
+  }
+  return loaded;
+}
+
+test('a start without failure detection loads nothing of it', () => {
+  const loaded = [...loadedBy(join(here, '..', 'src', 'main.js'))];
+  assert.ok(loaded.some((name) => name.endsWith('/coordination/roles.js')));
+  assert.ok(loaded.includes('hono/router/pattern-router'));
+  const unneeded = /suspicion|failure-detector|detector-codec|detection-report|plot|sketches/;
+  assert.deepEqual(
+    loaded.filter((name) => unneeded.test(name)),
+    [],
+  );
+});
+
+test('nodes without failure detection send nothing of it, and pass over what others send', async () => {
+  for (const [overrides, expected] of [
+    [{}, false],
+    [WATCHFUL, true],
+  ] as const) {
+    const world = new World(1, undefined, overrides);
+    const kinds = new Set<PeerMessage['kind']>();
+    world.onPeerMessage = (message) => {
+      kinds.add(message.kind);
+      return message;
+    };
+    await world.run(20);
+    assert.equal(kinds.has('detector'), expected);
+    const { node } = world.nodes.get('n0') ?? assert.fail();
+    node.receive({ kind: 'detector', payload: Buffer.from('ffff', 'hex') }, () => assert.fail());
+    assert.equal(node.detection?.counts.dropped.malformed, expected ? 1 : undefined);
+    assert.deepEqual(world.broken, []);
+  }
+});
--- /dev/null
+++ b/test/suspicion.test.ts
@@ -0,0 +1,168 @@
+/** Nodes that stand still or end, with failure detection between them: when roles are taken. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  playRow,
+  split,
+  tenures,
+  watchfulWorld,
+  WATCHFUL,
+  type SuspicionRow,
+  type WatchfulWorld,
+} from './world/suspicion.js';
+import type { World } from './world/world.js';
+
+const CONFIRMED = 'failure confirmed by a quorum';
+const STORE_ALONE = 'not confirmed in time: by the state service alone';
+
+const nodes = (world: World): string[] => world.members.map(([name]) => name);
+
+const ROWS: SuspicionRow[] = [
+  ...[1, 3].map((seconds) => ({
+    name: `the leader stands still for ${seconds} s`,
+    keepsTerms: true,
+    trouble: async ({ world }: WatchfulWorld) => {
+      world.freeze(world.leader, seconds);
+      await world.run(20);
+    },
+  })),
+  {
+    name: 'the leader stands still for 5 s: its roles are kept as long as its lease holds',
+    trouble: async ({ world }) => {
+      const { leader } = world;
+      const before = tenures(world);
+      world.freeze(leader, 5);
+      let lapsed = false;
+      for (let step = 0; step < 80; step++) {
+        await world.run(0.25);
+        if (!world.state.cells.has(`n/${leader}`)) lapsed = true;
+        if (!lapsed) assert.deepEqual(tenures(world), before);
+      }
+    },
+  },
+  {
+    name: 'the leader is frozen beyond its lease, and thawed later',
+    reasons: [CONFIRMED],
+    trouble: async ({ world }) => {
+      const { leader } = world;
+      world.freeze(leader, 30);
+      await world.run(20);
+      assert.notEqual(world.leader, leader);
+      await world.run(30);
+    },
+  },
+  {
+    name: 'a node is gone for good',
+    reasons: [CONFIRMED],
+    trouble: async ({ world }) => {
+      world.kill('n2');
+      await world.run(11);
+      assert.doesNotMatch(tenures(world)['part-n2'] ?? '', /n2/);
+      await world.run(20);
+    },
+  },
+  {
+    name: 'one survivor of three',
+    reasons: [STORE_ALONE],
+    trouble: async ({ world }) => {
+      world.kill('n1');
+      world.kill('n2');
+      await world.run(14);
+      for (const tenure of Object.values(tenures(world))) assert.match(tenure, /^n0 /);
+      await world.run(20);
+      for (const name of ['n1', 'n2']) world.boot(name);
+      await world.run(20);
+    },
+  },
+  {
+    name: 'back in an instant, again and again',
+    trouble: async ({ world }) => {
+      for (const name of [...nodes(world), ...nodes(world)]) {
+        world.kill(name);
+        await world.run(0.2);
+        world.boot(name);
+        await world.run(4);
+      }
+    },
+  },
+  {
+    name: 'all restarted together',
+    trouble: async ({ world }) => {
+      for (const name of nodes(world)) world.kill(name);
+      await world.run(3);
+      for (const name of nodes(world)) world.boot(name);
+      await world.run(14);
+      for (const [role, tenure] of Object.entries(tenures(world))) {
+        if (role !== 'leader') assert.match(tenure, new RegExp(`^${role.slice(5)} `));
+      }
+    },
+  },
+  {
+    name: 'switched on node by node and off again',
+    trouble: async ({ world }) => {
+      for (const settings of [{ suspicion: null }, WATCHFUL]) {
+        for (const name of nodes(world)) {
+          world.settingsFor = () => settings;
+          world.kill(name);
+          await world.run(3);
+          world.boot(name);
+          await world.run(9);
+        }
+      }
+    },
+  },
+  {
+    name: 'a node without failure detection is judged by the state service alone',
+    reasons: ['the holder never answered a probe'],
+    trouble: async ({ world, records }) => {
+      world.settingsFor = () => ({ suspicion: null });
+      world.kill('n2');
+      await world.run(3);
+      world.boot('n2');
+      world.kill('n0');
+      world.kill('n1');
+      world.settingsFor = () => WATCHFUL;
+      await world.run(3);
+      world.boot('n0');
+      world.boot('n1');
+      await world.run(15);
+      records.length = 0;
+      world.kill('n2');
+      await world.run(8);
+      assert.doesNotMatch(tenures(world)['part-n2'] ?? '', /n2/);
+    },
+  },
+];
+
+for (const row of ROWS) {
+  test(`suspicion: ${row.name}`, async () => {
+    for (const seed of [1, 2]) await playRow(row, seed);
+  });
+}
+
+const partsOf = (world: World, job: string): Set<string> => {
+  const { replica } = world.nodes.get(world.leader)?.node ?? assert.fail('nobody leads');
+  return new Set([...replica.chunksOf(job)].map(({ part }) => part));
+};
+
+test("suspicion: a suspected owner's part gets nothing new, keeps what it runs, and not for long", async () => {
+  const { world } = await watchfulWorld(3);
+  const machines = [...world.workers.keys()];
+  world.freeze('n2', 5);
+  await world.run(2.6);
+  void world.submit('j-000003', { tasks: 4, cpus: 1, team: 'wide', runS: 20 }, world.leader);
+  await world.run(1.5);
+  assert.ok(partsOf(world, 'j-000003').size > 0);
+  assert.ok(!partsOf(world, 'j-000003').has('n2'));
+  for (const machine of machines) assert.ok(world.workers.has(machine), `${machine} was returned`);
+  // Peers that can't reach each other suspect each other for as long as that lasts.
+  await world.run(20);
+  split(world, ['n2']);
+  await world.run(12);
+  void world.submit('j-000004', { tasks: 2, cpus: 1, team: 'wide', zone: 'b', runS: 20 }, 'n0');
+  await world.run(8);
+  assert.ok(partsOf(world, 'j-000004').has('n2'));
+  world.cuts.clear();
+  await world.run(60);
+  assert.deepEqual(world.broken, []);
+});
--- a/test/upgrade-peers.test.ts
+++ b/test/upgrade-peers.test.ts
@@ -193,6 +193,28 @@
   }
 });
 
+test('peer messages: kinds of failure detection come as sent, and older versions pass them over', () => {
+  const tenure = { node: 'n1', role: 'part-n2', term: REVISION, incarnation: 'x' };
+  const payload = Buffer.from('0a01ff', 'hex');
+  const rows: [PeerMessage, [number, ...[number, number][]]][] = [
+    [{ kind: 'detector', payload }, [4, [1, DELIMITED]]],
+    [
+      { kind: 'standDown', ...tenure },
+      [5, [1, DELIMITED], [2, DELIMITED], [3, VARINT], [4, DELIMITED]],
+    ],
+    [
+      { kind: 'stoodDown', ...tenure },
+      [6, [1, DELIMITED], [2, DELIMITED], [3, VARINT], [4, DELIMITED]],
+    ],
+  ];
+  for (const [message, numbers] of rows) {
+    const frame = encodePeer(message);
+    assert.deepEqual(numbersOf(frame), numbers);
+    assert.deepEqual(heard(frame), message);
+    for (const schema of [PRODUCTION, WITH_GANGS]) assert.deepEqual(readBy(schema, frame), {});
+  }
+});
+
 test('peer messages: what a later version adds is passed over', () => {
   for (const { name, message, production, withGangs, fromWithGangs } of ROWS) {
     const whole = withGangs ?? production;
--- a/test/world/cloud.ts
+++ b/test/world/cloud.ts
@@ -4,7 +4,7 @@
 import { NoAnswer } from '../../src/transport/http-client.js';
 import { TYPES } from './settings.js';
 import { SimWorker } from './worker.js';
-import type { World } from './world.js';
+import type { Surroundings } from './surroundings.js';
 
 /** Machines that are rented, and the troubles that renting may have. */
 export class SimCloud {
@@ -19,7 +19,7 @@
   private readonly requests = new Map<string, string[]>();
   private machineCount = 0;
 
-  constructor(private readonly world: World) {}
+  constructor(private readonly world: Surroundings) {}
 
   /** The cloud as a node sees it. */
   api(): CloudApi {
@@ -60,7 +60,7 @@
   addMachine(type: string, zone: string, spot: boolean, bootMs: number): string {
     const name = `m-${String(this.machineCount++).padStart(6, '0')}`;
     this.capacity--;
-    const address = `10.1.0.${this.machineCount}:9000`;
+    const address = this.world.addressOf(this.machineCount);
     this.byAddress.set(address, name);
     this.rented.set(name, { name, address, type, zone, spot, state: 'booting', ageS: 0 });
     this.world.clock.after(bootMs, () => {
--- a/test/world/environment.ts
+++ b/test/world/environment.ts
@@ -75,8 +75,9 @@
 function sendToPeer(world: World, name: string, peer: string, message: PeerMessage): boolean {
   const other = world.nodes.get(peer);
   if (!other || world.cut(name, peer)) return false;
-  if (world.drops(name, peer)) return true;
+  if (world.drops(name, peer) || world.lostOneWay.has(`${name}>${peer}`)) return true;
   const back = (reply: PeerMessage): void => {
+    if (world.lostOneWay.has(`${peer}>${name}`)) return;
     world.clock.after(PEER_MS, () => {
       world.at(name, () =>
         world.nodes.get(name)?.node.receive(world.onPeerMessage(reply), () => undefined),
--- a/test/world/judge.ts
+++ b/test/world/judge.ts
@@ -4,7 +4,7 @@
 import { TEAMS } from './settings.js';
 import { WaitingJobs } from './waiting-jobs.js';
 import type { SimWorker } from './worker.js';
-import type { World } from './world.js';
+import type { Surroundings } from './surroundings.js';
 
 /** What users ask of nodes. */
 export type RequestKind = 'submit' | 'cancel' | 'poll';
@@ -25,7 +25,7 @@
   private readonly questions = new Questions();
   private readonly waitingJobs: WaitingJobs;
 
-  constructor(private readonly world: World) {
+  constructor(private readonly world: Surroundings) {
     this.waitingJobs = new WaitingJobs(world, this);
   }
 
--- a/test/world/rule-case.ts
+++ b/test/world/rule-case.ts
@@ -1,5 +1,6 @@
 /** Cases of one trouble in the simulated world, and how they are judged. */
 import assert from 'node:assert/strict';
+import type { Settings } from '../../src/protocol/settings.js';
 import { stageOf as stage } from './jobs.js';
 import { settled } from './requests.js';
 import { World } from './world.js';
@@ -11,8 +12,12 @@
 }
 
 /** Plays a case by this seed; the rules must hold, and all work must get done. */
-export async function playCase({ trouble }: RuleCase, seed: number): Promise<void> {
-  const world = new World(seed);
+export async function playCase(
+  { trouble }: RuleCase,
+  seed: number,
+  overrides: Partial<Settings> = {},
+): Promise<void> {
+  const world = new World(seed, undefined, overrides);
   for (const zone of ['a', 'a', 'b']) world.addMachine('small', zone, false, 500);
   await world.run(6);
   assert.equal(
--- a/test/world/settings.ts
+++ b/test/world/settings.ts
@@ -70,5 +70,6 @@
     sockets: 1000,
     placement: { alpha: 2, penalty: 2, snapshotS: 30 },
     fleet: FLEET,
+    suspicion: null,
   };
 }
--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -12,7 +12,7 @@
   type WatchResult,
 } from '../../src/protocol/state-api.js';
 import { NoAnswer } from '../../src/transport/http-client.js';
-import type { SimClock } from './clock.js';
+import type { Clock } from '../../src/transport/clock.js';
 
 interface Cell {
   value: unknown;
@@ -69,7 +69,7 @@
   private readonly random;
 
   constructor(
-    private readonly clock: SimClock,
+    private readonly clock: Clock,
     seed = 1,
   ) {
     this.random = xoroshiro128plus(seed);
--- /dev/null
+++ b/test/world/surroundings.ts
@@ -0,0 +1,40 @@
+/** What stand-ins need of the world around them: simulated, or of real processes on loopback. */
+import type { Settings } from '../../src/protocol/settings.js';
+import type { Clock } from '../../src/transport/clock.js';
+import type { SimGangs } from './gang.js';
+import type { SimJob } from './jobs.js';
+import type { SimWorker } from './worker.js';
+import type { Answer } from './worker-wire.js';
+
+/** A node, as workers reach it. */
+export interface ReportedNode {
+  readonly node: { report(body: string): Promise<Answer> };
+}
+
+/** The world around workers, cloud and judge. */
+export interface Surroundings {
+  readonly clock: Clock;
+  readonly members: readonly (readonly [string, string])[];
+  readonly nodes: ReadonlyMap<string, ReportedNode>;
+  readonly workers: Map<string, SimWorker>;
+  readonly jobs: Map<string, SimJob>;
+  readonly completed: Set<string>;
+  readonly gangs: SimGangs;
+  readonly overrides: Partial<Settings>;
+  /** ms that messages between nodes and workers take each way. */
+  readonly linkMs: number;
+  /** ms after its last answered report at which a worker ends its tasks. */
+  readonly workerLeaseMs: number;
+  /** A whole number below `most`. */
+  chance(most: number): number;
+  /** Runs what comes for a node, when it can. */
+  at(node: string, run: () => void): void;
+  /** Whether a node and a machine can't reach each other. */
+  cut(node: string, machine: string): boolean;
+  /** The address of the machine of this number. */
+  addressOf(machine: number): string;
+  /** A task got on its machine. */
+  started(worker: SimWorker, task: string): void;
+  /** All tasks of a gang run. */
+  gangStarted(job: string, attempt: number): void;
+}
--- /dev/null
+++ b/test/world/suspicion.ts
@@ -0,0 +1,105 @@
+/** The simulated world with failure detection between its nodes, and what was decided there. */
+import assert from 'node:assert/strict';
+import type { DetectionRecord } from '../../src/coordination/suspicion/detection-records.js';
+import { readOperatorSettings } from '../../src/protocol/operator-settings.js';
+import type { Settings } from '../../src/protocol/settings.js';
+import { roleKey } from '../../src/storage/keys.js';
+import type { RoleRecord } from '../../src/storage/records.js';
+import { silent } from './settings.js';
+import { World, type Members } from './world.js';
+
+/** What the deploy file sets. */
+export const WATCHFUL: Partial<Settings> = {
+  suspicion: readOperatorSettings(['deploy/suspicion.toml'], 3).suspicion,
+};
+
+/** Tasks of the work that runs in it. */
+const TASKS = 18;
+
+/** A world and the records of all its nodes. */
+export interface WatchfulWorld {
+  world: World;
+  records: DetectionRecord[];
+  /** What was logged as stood down: the node and the role. */
+  stoodDown: string[];
+}
+
+/** A world whose nodes detect failures, with machines and work of both teams running. */
+export async function watchfulWorld(seed: number, members?: Members): Promise<WatchfulWorld> {
+  const records: DetectionRecord[] = [];
+  const stoodDown: string[] = [];
+  const logOf = (node: string): typeof silent => ({
+    ...silent,
+    info: (fields, message) => {
+      if ('detection' in fields) records.push(fields.detection as DetectionRecord);
+      if (message === 'stood down') stoodDown.push(`${node} ${(fields as { role: string }).role}`);
+    },
+  });
+  const world = new World(seed, members, WATCHFUL, logOf);
+  for (const zone of ['a', 'a', 'b', 'b']) world.addMachine('small', zone, false, 500);
+  await world.run(8);
+  void world.submit('j-000001', { tasks: 16, runS: 60 });
+  void world.submit('j-000002', { team: 'blue', tasks: 2, service: true, spot: false });
+  await world.run(8);
+  return { world, records, stoodDown };
+}
+
+/** A trouble, and what must come of it. */
+export interface SuspicionRow {
+  name: string;
+  trouble: (watched: WatchfulWorld) => Promise<void>;
+  /** Nobody's term changes over the trouble. */
+  keepsTerms?: boolean;
+  /** Reasons for which roles were taken, and none but these. */
+  reasons?: string[];
+  /** Tasks that start again since their machine was cut off: as many as without failure detection. */
+  restarts?: number;
+}
+
+/** Plays a row: the rules must hold, all work must get done, and no task starts again without need. */
+export async function playRow(row: SuspicionRow, seed: number): Promise<void> {
+  const watched = await watchfulWorld(seed);
+  const { world, records } = watched;
+  const before = tenures(world);
+  await row.trouble(watched);
+  if (row.keepsTerms) assert.deepEqual(tenures(world), before);
+  if (row.reasons) assert.deepEqual([...takenBecause(records)], row.reasons);
+  world.settingsFor = () => WATCHFUL;
+  for (const [node] of world.members) if (!world.nodes.has(node)) world.boot(node);
+  await world.run(25);
+  world.troublesOver();
+  await world.run(60);
+  assert.deepEqual(world.broken, []);
+  const { body } = await world.poll('j-000001', 'n0');
+  assert.match(JSON.stringify(body), /"done"/, `seed ${seed}`);
+  const most = TASKS + (row.restarts ?? 0);
+  assert.ok(world.starts.length <= most, `seed ${seed}: a task had to start again`);
+}
+
+/** Nodes of two groups can't reach each other. */
+export function split(world: World, left: readonly string[]): void {
+  for (const one of left) {
+    for (const [other] of world.members)
+      if (!left.includes(other)) world.cuts.add(`${one}>${other}`);
+  }
+}
+
+/** Holders and terms of all roles, as the store has them. */
+export function tenures(world: World): Record<string, string> {
+  const roles = ['leader', ...world.members.map(([name]) => `part-${name}`)];
+  return Object.fromEntries(
+    roles.map((role) => {
+      const record = world.state.cells.get(roleKey(role))?.value as RoleRecord | undefined;
+      return [role, `${record?.owner} ${record?.term}`];
+    }),
+  );
+}
+
+/** The reasons for which roles were taken. */
+export function takenBecause(records: readonly DetectionRecord[]): Set<string> {
+  const reasons = new Set<string>();
+  for (const record of records) {
+    if (record.type === 'decision' && record.action === 'take') reasons.add(record.why);
+  }
+  return reasons;
+}
--- a/test/world/waiting-jobs.ts
+++ b/test/world/waiting-jobs.ts
@@ -3,7 +3,7 @@
 import type { Judge } from './judge.js';
 import { TEAMS, TYPES } from './settings.js';
 import type { SimWorker } from './worker.js';
-import type { World } from './world.js';
+import type { Surroundings } from './surroundings.js';
 
 /** ms for which a job may wait in front of free machines. */
 const WAIT_MS = 90_000;
@@ -21,7 +21,7 @@
   private readonly since = new Map<string, number>();
 
   constructor(
-    private readonly world: World,
+    private readonly world: Surroundings,
     private readonly judge: Pick<Judge, 'accepted' | 'told'>,
   ) {}
 
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -2,7 +2,7 @@
 import type { SimJob } from './jobs.js';
 import { TYPES } from './settings.js';
 import { bodyOf, type Answer, type WireAnswer, type WireCommand } from './worker-wire.js';
-import type { World } from './world.js';
+import type { Surroundings } from './surroundings.js';
 
 export interface Task {
   attempt: number;
@@ -45,11 +45,13 @@
   mute = false;
   /** Copies of its reports come once more so much later, at any node. */
   copyAfterMs: number[] = [];
+  /** Orders with a token that is older than one seen before: none of them was carried out. */
+  staleOrders = 0;
   private reporting = false;
   private hungUntil = 0;
 
   constructor(
-    private readonly world: World,
+    private readonly world: Surroundings,
     readonly machine: {
       name: string;
       address: string;
@@ -86,6 +88,7 @@
 
   /** A direct call: carried out if token and session match, perhaps late. */
   command(token: number, session: number, calls: WireCommand[]): { status: number; body: string } {
+    if (token < this.token) this.staleOrders++;
     const match = !this.dead && token >= this.token && session === this.session;
     if (match) {
       this.token = token;
@@ -106,7 +109,7 @@
 
   private tick(): void {
     if (this.dead) return;
-    if (this.world.clock.now() - this.renewedAt > 24_000) {
+    if (this.world.clock.now() - this.renewedAt > this.world.workerLeaseMs) {
       this.tasks.clear();
       this.session++;
       this.renewedAt = this.world.clock.now();
@@ -169,7 +172,10 @@
   /** An answer to a report of this session: the lease is renewed, unless its token is older. */
   private take(answer: WireAnswer | null, sentAt: number): void {
     const token = answer?.mandate ?? -1;
-    if (token < this.token) return;
+    if (token < this.token) {
+      this.staleOrders++;
+      return;
+    }
     if (token > this.token) this.changed = true;
     this.token = token;
     this.renewedAt = sentAt;
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -2,9 +2,11 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { ControllerNode } from '../../src/coordination/node.js';
+import { FailureDetection } from '../../src/coordination/suspicion/failure-detection.js';
 import type { PeerMessage } from '../../src/protocol/peer-messages.js';
 import type { Settings } from '../../src/protocol/settings.js';
 import { roleKey } from '../../src/storage/keys.js';
+import type { Log } from '../../src/storage/log.js';
 import type { RoleRecord } from '../../src/storage/records.js';
 import { SimClock } from './clock.js';
 import { SimCloud } from './cloud.js';
@@ -14,13 +16,14 @@
 import { environmentOf } from './environment.js';
 import { settingsOf, silent } from './settings.js';
 import { SimState } from './state.js';
+import type { Surroundings } from './surroundings.js';
 import type { SimWorker } from './worker.js';
 
 /** Names and zones of the nodes. */
 export type Members = [string, string][];
 
 /** Controllers, workers, cloud and state service in simulated time, and a judge of the rules. */
-export class World {
+export class World implements Surroundings {
   readonly clock = new SimClock();
   readonly state;
   readonly cloud = new SimCloud(this);
@@ -31,7 +34,7 @@
   readonly starts: { task: string; machine: string; at: number }[] = [];
   /** When all tasks of a gang ran together. */
   readonly gangStarts: { job: string; attempt: number; at: number }[] = [];
-  readonly gangs = new SimGangs(this);
+  readonly gangs: SimGangs = new SimGangs(this);
   /** Pairs "x>y" that can't reach each other; x and y are node or machine names. */
   readonly cuts = new Set<string>();
   /** What becomes of a message between nodes on its way. */
@@ -40,8 +43,15 @@
   tamper: (kind: RequestKind, id: string, reply: Reply) => Reply = (_kind, _id, reply) => reply;
   /** Pairs "x>y" of nodes whose connection stays open, while nothing that they send arrives. */
   readonly dropped = new Set<string>();
+  /** Pairs "x>y" of nodes: what x sends y is lost, while what y sends x arrives. */
+  readonly lostOneWay = new Set<string>();
+  /** What the settings of one node say otherwise, from its next start on. */
+  settingsFor: (node: string) => Partial<Settings> = () => this.overrides;
+  /** Where a node logs. */
+  private readonly logOf: (node: string) => Log;
   /** ms that messages between nodes and workers take each way. */
   linkMs = 1;
+  readonly workerLeaseMs = 24_000;
   private readonly judge = new Judge(this);
   /** What waits for nodes that stand still. */
   private readonly frozen = new Map<string, (() => void)[]>();
@@ -57,7 +67,9 @@
     ],
     /** What the nodes' settings say otherwise. */
     readonly overrides: Partial<Settings> = {},
+    logOf: (node: string) => Log = () => silent,
   ) {
+    this.logOf = logOf;
     this.random = xoroshiro128plus(seed);
     this.state = new SimState(this.clock, seed);
     for (const [name] of members) this.boot(name);
@@ -93,12 +105,15 @@
     this.frozen.delete(name);
     const zone = this.members.find(([one]) => one === name)?.[1] ?? 'a';
     let dead = false;
-    const node = new ControllerNode(
-      { ...settingsOf(name, zone, this.members), ...this.overrides },
-      environmentOf(this, name, () => dead),
-      silent,
-      `${name}-${++this.incarnations}`,
-    );
+    const settings = { ...settingsOf(name, zone, this.members), ...this.settingsFor(name) };
+    const { suspicion } = settings;
+    const node = new ControllerNode({
+      settings,
+      environment: environmentOf(this, name, () => dead),
+      log: this.logOf(name),
+      incarnation: `${name}-${++this.incarnations}`,
+      createDetection: suspicion ? (options) => new FailureDetection(options, suspicion) : null,
+    });
     node.start();
     this.nodes.set(name, {
       node,
@@ -159,6 +174,11 @@
     this.cloud.catalog = known;
   }
 
+  /** The address of the machine of this number. */
+  addressOf(machine: number): string {
+    return `10.1.0.${machine}:9000`;
+  }
+
   /** Rents a machine, whose worker is up after `bootMs`. */
   addMachine(type: string, zone: string, spot: boolean, bootMs: number): string {
     return this.cloud.addMachine(type, zone, spot, bootMs);
