Reports of failure detection, a loopback harness of real processes, and their pages

Change: package detection-report and `mothbank detections`: logs or exports of several nodes, plain or compressed, become one HTML page with plots (Observable Plot on linkedom) and quantiles of probe times (DDSketch); the daemon loads none of it. test/loopback starts built controllers against HTTP stand-ins of state service, cloud and workers, and stops and continues them by their process ids.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -28,7 +28,8 @@
   meta: { type: 'suggestion', messages: { missing: 'Module has no doc comment at its top.' } },
   create: (context) => ({
     Program(program) {
-      const [comment] = context.sourceCode.getAllComments();
+      const comments = context.sourceCode.getAllComments();
+      const comment = comments.find(({ type }) => type !== 'Shebang');
       const [statement] = program.body;
       const isFirst =
         comment?.type === 'Block' &&
--- /dev/null
+++ b/packages/detection-report/src/records.ts
@@ -0,0 +1,91 @@
+/** Records of failure detection as nodes log and export them. */
+
+import * as v from 'valibot';
+
+const evidence = v.looseObject({
+  kind: v.string(),
+  at: v.number(),
+  isReached: v.optional(v.boolean()),
+  witness: v.optional(v.string()),
+  storeAnswers: v.optional(v.boolean()),
+  instance: v.optional(v.string()),
+});
+
+const transition = v.object({
+  type: v.literal('transition'),
+  at: v.number(),
+  observer: v.string(),
+  member: v.string(),
+  instance: v.string(),
+  incarnation: v.number(),
+  from: v.string(),
+  to: v.string(),
+  reason: v.string(),
+  silentMs: v.nullable(v.number()),
+  evidence: v.array(evidence),
+});
+
+const decision = v.object({
+  type: v.literal('decision'),
+  at: v.number(),
+  observer: v.string(),
+  role: v.string(),
+  holder: v.string(),
+  term: v.number(),
+  action: v.string(),
+  why: v.string(),
+  witnesses: v.array(v.string()),
+  quorum: v.number(),
+  waitedMs: v.number(),
+});
+
+const probeTimes = v.object({
+  type: v.literal('probeTimes'),
+  at: v.number(),
+  observer: v.string(),
+  member: v.string(),
+  localHealth: v.number(),
+  roundTripsMs: v.array(v.number()),
+});
+
+const line = v.object({ detection: v.variant('type', [transition, decision, probeTimes]) });
+
+/** One record; `at`: time of day in ms. */
+export type DetectionRecord = v.InferOutput<typeof line>['detection'];
+/** A change of a member's state as one node saw it. */
+export type TransitionRecord = Extract<DetectionRecord, { type: 'transition' }>;
+/** What a node decided about a role. */
+export type DecisionRecord = Extract<DetectionRecord, { type: 'decision' }>;
+/** Round-trip times of one node's probes of another. */
+export type ProbeTimesRecord = Extract<DetectionRecord, { type: 'probeTimes' }>;
+
+/** What lines of a file hold, and the numbers of those that can't be read. */
+export interface ParsedLines {
+  readonly records: readonly DetectionRecord[];
+  /** Line numbers, from 1. */
+  readonly unreadable: readonly number[];
+}
+
+/** Null: no JSON object, as from another program that writes to the same log. */
+function parseLine(text: string): object | null {
+  try {
+    return JSON.parse(text) as object;
+  } catch {
+    return null;
+  }
+}
+
+/** Reads the records among the lines of a log or an export; lines about other things are passed over. */
+export function parseLines(text: string): ParsedLines {
+  const records: DetectionRecord[] = [];
+  const unreadable: number[] = [];
+  for (const [index, one] of text.split('\n').entries()) {
+    if (!one.startsWith('{')) continue;
+    const parsed = parseLine(one);
+    if (parsed !== null && !Object.hasOwn(parsed, 'detection')) continue;
+    const result = v.safeParse(line, parsed);
+    if (result.success) records.push(result.output.detection);
+    else unreadable.push(index + 1);
+  }
+  return { records, unreadable };
+}
--- /dev/null
+++ b/packages/detection-report/src/report.ts
@@ -0,0 +1,150 @@
+/** One self-contained HTML page about the failure detection of several nodes. */
+
+import { parseHTML } from 'linkedom';
+import { QUANTILES, TABLE_ROWS } from './constants.js';
+import type { FileFault, Histories } from './history-files.js';
+import { decisionPlot, probePlot, statePlot } from './plots.js';
+import { probeQuantiles, type ProbeQuantiles } from './probe-quantiles.js';
+import type { DecisionRecord, TransitionRecord } from './records.js';
+
+const STYLE = `body { font: 14px system-ui, sans-serif; margin: 2em auto; max-width: 1100px; }
+table { border-collapse: collapse; } td, th { border: 1px solid #ccc; padding: 2px 8px; text-align: left; }
+.alive { color: #2c7a4f; } .suspect { color: #9a6b00; } .failed { color: #b3365b; } figure { margin: 1em 0; }`;
+
+const TITLE = 'Failure detection between controllers';
+
+type Evidence = TransitionRecord['evidence'][number];
+
+const time = (at: number): string => new Date(at).toISOString().slice(11, 23);
+
+function describe(evidence: Evidence): string {
+  switch (evidence.kind) {
+    case 'own probe':
+      return evidence.isReached ? 'own probe answered' : 'own probe failed';
+    case 'witness':
+      return `${evidence.witness} can't reach it${evidence.storeAnswers ? '' : ' (without store)'}`;
+    case 'newer instance':
+      return `newer instance ${evidence.instance}`;
+    default:
+      return evidence.kind;
+  }
+}
+
+/** Builds the page; all texts from records go in as text, never as markup. */
+class ReportPage {
+  private readonly document: Document;
+
+  constructor() {
+    const { document } = parseHTML(
+      '<!doctype html><html lang="en"><head></head><body></body></html>',
+    );
+    this.document = document as unknown as Document;
+    this.document.title = TITLE;
+    const charset = this.add(this.document.head, 'meta', null);
+    charset.setAttribute('charset', 'utf-8');
+    this.add(this.document.head, 'style', STYLE);
+    this.add(this.document.body, 'h1', TITLE);
+  }
+
+  get html(): string {
+    return `<!doctype html>\n${this.document.documentElement.outerHTML}\n`;
+  }
+
+  paragraph(text: string): void {
+    this.add(this.document.body, 'p', text);
+  }
+
+  section(title: string): void {
+    this.add(this.document.body, 'h2', title);
+  }
+
+  figure(draw: (document: Document) => string): void {
+    const figure = this.add(this.document.body, 'figure', null);
+    figure.innerHTML = draw(this.document);
+  }
+
+  table(head: readonly string[], rows: readonly (readonly string[])[]): void {
+    const table = this.add(this.document.body, 'table', null);
+    const addRow = (cells: readonly string[], tag: string): void => {
+      const row = this.add(table, 'tr', null);
+      for (const cell of cells) this.add(row, tag, cell);
+    };
+    addRow(head, 'th');
+    for (const row of rows.slice(-TABLE_ROWS)) addRow(row, 'td');
+    if (rows.length > TABLE_ROWS)
+      this.paragraph(`The latest ${TABLE_ROWS} of ${rows.length} rows.`);
+  }
+
+  private add(parent: Element, tag: string, text: string | null): Element {
+    const element = this.document.createElement(tag);
+    if (text !== null) element.textContent = text;
+    parent.appendChild(element);
+    return element;
+  }
+}
+
+function addTransitions(page: ReportPage, transitions: readonly TransitionRecord[]): void {
+  const rows = transitions.map((one) => [
+    time(one.at),
+    one.observer,
+    one.member,
+    `${one.from} > ${one.to}`,
+    one.reason,
+    one.silentMs === null ? '' : `${Math.round(one.silentMs)} ms`,
+    one.evidence.map(describe).join('; '),
+  ]);
+  page.table(['time', 'observer', 'member', 'state', 'reason', 'silent for', 'evidence'], rows);
+}
+
+function addDecisions(page: ReportPage, decisions: readonly DecisionRecord[]): void {
+  const rows = decisions.map((one) => [
+    time(one.at),
+    one.observer,
+    `${one.role} of ${one.holder}, term ${one.term}`,
+    one.action,
+    one.why,
+    `${one.witnesses.join(', ')} (of ${one.quorum})`,
+    `${Math.round(one.waitedMs)} ms`,
+  ]);
+  page.table(['time', 'by', 'role', 'action', 'why', 'witnesses', 'waited'], rows);
+}
+
+function addProbes(page: ReportPage, quantiles: readonly ProbeQuantiles[]): void {
+  const rows = quantiles.map(({ lane, count, values }) => [
+    lane,
+    String(count),
+    ...values.map((value) => value.toFixed(2)),
+  ]);
+  page.table(['observer > member', 'probes', ...QUANTILES.map((one) => `p${one * 100}, ms`)], rows);
+}
+
+function addFaults(page: ReportPage, faults: readonly FileFault[]): void {
+  if (faults.length === 0) return;
+  page.section('Files that could not be read whole');
+  page.table(
+    ['file', 'reason'],
+    faults.map(({ file, reason }) => [file, reason]),
+  );
+}
+
+/** The report of these histories. */
+export function reportOf({ faults, records }: Histories): string {
+  const page = new ReportPage();
+  const transitions = records.filter((one) => one.type === 'transition');
+  const decisions = records.filter((one) => one.type === 'decision');
+  const quantiles = probeQuantiles(records);
+  page.paragraph(
+    `${transitions.length} transitions, ${decisions.length} decisions. Times are each node's time of day, UTC.`,
+  );
+  addFaults(page, faults);
+  page.section('States of members, as each observer saw them');
+  if (transitions.length > 0) page.figure((document) => statePlot(document, records));
+  addTransitions(page, transitions);
+  page.section('Decisions about roles');
+  if (decisions.length > 0) page.figure((document) => decisionPlot(document, decisions));
+  addDecisions(page, decisions);
+  page.section('Probe times');
+  if (quantiles.length > 0) page.figure((document) => probePlot(document, quantiles));
+  addProbes(page, quantiles);
+  return page.html;
+}
--- /dev/null
+++ b/src/cli.ts
@@ -0,0 +1,45 @@
+#!/usr/bin/env node
+/** The operators' command line: tools that read what controllers wrote. */
+
+import { writeFileSync } from 'node:fs';
+import { Command } from 'commander';
+import { compress, readHistories, reportOf } from '@mothbank/detection-report';
+import { VERSION } from './constants.js';
+
+/** Exit code for a command line that can't be used. */
+const EXIT_USAGE = 2;
+/** Exit code where something could not be read. */
+const EXIT_FAULT = 1;
+
+interface DetectionsOptions {
+  out: string;
+  export?: string;
+}
+
+function writeDetections(files: string[], options: DetectionsOptions): void {
+  const histories = readHistories(files);
+  for (const { file, reason } of histories.faults) {
+    process.stderr.write(`mothbank: ${file}: ${reason}\n`);
+  }
+  writeFileSync(options.out, reportOf(histories));
+  if (options.export !== undefined) writeFileSync(options.export, compress(histories.records));
+  process.stdout.write(`${histories.records.length} records: ${options.out}\n`);
+  if (histories.faults.length > 0) process.exitCode = EXIT_FAULT;
+}
+
+const program = new Command('mothbank')
+  .description(
+    "Operators' tools of a mothbank cluster. A controller is started as the README says.",
+  )
+  .version(VERSION)
+  .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : EXIT_USAGE));
+
+program
+  .command('detections')
+  .description('write one HTML report of the failure detection of several nodes')
+  .argument('<files...>', 'logs of controllers, or what GET /detections told, also compressed')
+  .option('--out <file>', 'the report', 'detections.html')
+  .option('--export <file>', 'all records as one compressed file as well')
+  .action(writeDetections);
+
+program.parse();
--- /dev/null
+++ b/test/loopback/controller-process.ts
@@ -0,0 +1,56 @@
+/** One built controller as a process of its own, stopped and continued by its process id. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { dirname, join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+const MAIN = join(dirname(fileURLToPath(import.meta.url)), '..', '..', 'src', 'main.js');
+
+/** A line of a controller's log. */
+export type LogLine = Record<string, unknown> & { msg?: string };
+
+/** A controller that runs, or has run, with these arguments. */
+export class ControllerProcess {
+  /** What it logged, over all its starts. */
+  readonly log: LogLine[] = [];
+  private child: ChildProcess | null = null;
+  private partial = '';
+
+  constructor(private readonly args: readonly string[]) {}
+
+  start(): void {
+    const child = spawn(process.execPath, [MAIN, ...this.args], {
+      stdio: ['ignore', 'ignore', 'pipe'],
+      env: { ...process.env, LOG_LEVEL: 'info' },
+    });
+    this.child = child;
+    child.stderr.on('data', (part: Buffer) => this.read(part.toString()));
+  }
+
+  /** It stands still, while all clocks run. */
+  freeze(): void {
+    this.child?.kill('SIGSTOP');
+  }
+
+  thaw(): void {
+    this.child?.kill('SIGCONT');
+  }
+
+  /** It is gone at once; resolves when it is. */
+  async kill(): Promise<void> {
+    const { child } = this;
+    this.child = null;
+    if (!child || child.exitCode !== null || child.signalCode !== null) return;
+    const ended = once(child, 'exit');
+    child.kill('SIGKILL');
+    await ended;
+  }
+
+  private read(text: string): void {
+    const lines = (this.partial + text).split('\n');
+    this.partial = lines.pop() ?? '';
+    for (const line of lines) {
+      if (line.startsWith('{')) this.log.push(JSON.parse(line) as LogLine);
+    }
+  }
+}
--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -37,6 +37,8 @@
   limits: { rps: number; writeRps: number } | null = null;
   private readonly levels = { at: 0, requests: 0, writes: 0 };
   refusals = 0;
+  /** Late transactions whose conditions did not hold any more. */
+  lateRefusals = 0;
   /** Keys that one page of a listing holds. */
   pageKeys = 1000;
   /** Listings that were asked for, and which of them are not served. */
@@ -143,7 +145,7 @@
       if (this.outage) this.carryOut(guards, changes, 50);
       else {
         try {
-          this.txn(guards, changes);
+          if (!this.txn(guards, changes).ok) this.lateRefusals++;
         } catch {
           // Refused: its lease has ended meanwhile.
         }
