A role is taken at the first look again, and plots have legends

Change: noted first, then read; test/role-turns.test.ts has a clock that moves with each reading. The report's plots have legends.

Measured: the test fails with the old order (by its cause: below zero), and passes now.

--- a/packages/detection-report/src/plots.ts
+++ b/packages/detection-report/src/plots.ts
@@ -62,7 +62,7 @@
   return plotLanes(document, new Set(spans.map(({ lane }) => lane)).size, {
     x: { type: 'utc', label: 'time of day', grid: true },
     y: { label: null },
-    color: { ...STATE_COLOURS, type: 'ordinal' },
+    color: { ...STATE_COLOURS, type: 'ordinal', legend: true },
     marks: [bars],
   });
 }
@@ -79,7 +79,12 @@
   return plotLanes(document, new Set(decisions.map(({ role }) => role)).size, {
     x: { type: 'utc', label: 'time of day', grid: true },
     y: { label: null, type: 'band' },
-    color: { domain: ['take', 'wait', 'ask to stand down'], scheme: 'Dark2', type: 'ordinal' },
+    color: {
+      domain: ['take', 'wait', 'ask to stand down'],
+      scheme: 'Dark2',
+      type: 'ordinal',
+      legend: true,
+    },
     marks: [dots],
   });
 }
@@ -92,7 +97,7 @@
   return plotLanes(document, quantiles.length, {
     x: { type: 'log', label: 'probe time, ms', grid: true },
     y: { label: null, type: 'band' },
-    color: { domain: QUANTILES.map(String), scheme: 'Dark2', type: 'ordinal' },
+    color: { domain: QUANTILES.map(String), scheme: 'Dark2', type: 'ordinal', legend: true },
     marks: [Plot.dot(points, { x: 'ms', y: 'lane', fill: 'quantile', r: 4 })],
   });
 }
--- a/src/coordination/role-turns.ts
+++ b/src/coordination/role-turns.ts
@@ -52,7 +52,8 @@
       this.freeSince.delete(role);
       return false;
     }
-    const freeForMs = this.options.clock.now() - this.noteFree(role);
+    const since = this.noteFree(role);
+    const freeForMs = this.options.clock.now() - since;
     const turn = atHome ? 0 : this.turn(role, home);
     // The first choice takes it at once; the others only if the first does not.
     if (freeForMs < turn * MEMBER_RENEW_MS) return false;
--- a/test/detections.test.ts
+++ b/test/detections.test.ts
@@ -36,7 +36,7 @@
   assert.equal(stderr, '');
   assert.equal(status, 0);
   const html = readFileSync(path('r.html'), 'utf8');
-  assert.equal(html.match(/<svg/g)?.length, 3);
+  assert.equal(html.match(/<figure [^>]*class="plot-/g)?.length, 3);
   assert.doesNotMatch(html, /<(script|link)|(src|href)="http/);
   for (const text of ['n0 &gt; n1', 'failure confirmed by a quorum', 'refuted', 'p99, ms']) {
     assert.ok(html.includes(text), text);
--- a/test/failure-detector-rules.test.ts
+++ b/test/failure-detector-rules.test.ts
@@ -33,10 +33,13 @@
   const timing = { leastMs: 1000, mostMs: 5000, expectedConfirmations: 2 };
   const suspicion = new Suspicion(0, 100, timing);
   const ends: number[] = [];
+  const isNew: boolean[] = [];
   for (const witness of ['a', 'a', 'b', 'b', 'c', 'd']) {
-    suspicion.confirm(witness);
+    isNew.push(suspicion.confirm(witness));
     ends.push(Math.round(suspicion.endsAt - 100));
   }
+  // What is not new is not passed on either: rumours would go round for ever.
+  assert.deepEqual(isNew, [true, false, true, false, true, true]);
   assert.deepEqual(ends, [5000, 5000, 2476, 2476, 1000, 1000]);
 });
 
--- /dev/null
+++ b/test/role-turns.test.ts
@@ -0,0 +1,65 @@
+/** Whose turn it is to take a free role, on a clock that moves on between two readings. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MEMBER_RENEW_MS } from '../src/constants.js';
+import { RoleTurns } from '../src/coordination/role-turns.js';
+import { StoodDownRoles } from '../src/coordination/stood-down-roles.js';
+import { STORE_ALONE } from '../src/coordination/takeover.js';
+import { InvalidChangeBackoff } from '../src/storage/invalid-change-backoff.js';
+import type { Clock } from '../src/transport/clock.js';
+import { followingReplica } from './world/replica.js';
+import { SimClock } from './world/clock.js';
+import { SimState } from './world/state.js';
+
+/** Each reading is later than the one before, as on a real machine. */
+class MovingClock implements Clock {
+  private time = 1_000_000;
+
+  now(): number {
+    this.time += 0.01;
+    return this.time;
+  }
+
+  wall(): number {
+    return this.now();
+  }
+
+  after(): () => void {
+    return () => undefined;
+  }
+
+  pass(ms: number): void {
+    this.time += ms;
+  }
+}
+
+// Read in the wrong order, the time for which a role had been free was below zero at the first look,
+// and each takeover waited for the next round, half a second later.
+test('the first choice takes a free role when it first sees it, the second a turn later', () => {
+  const simulated = new SimClock();
+  const { replica } = followingReplica(simulated, new SimState(simulated), 100);
+  const looks: string[] = [];
+  for (const self of ['n0', 'n1']) {
+    const clock = new MovingClock();
+    const turns = new RoleTurns({
+      self: { node: self, zone: self === 'n0' ? 'a' : 'b' },
+      incarnation: 'x',
+      members: [
+        { node: 'n0', zone: 'a' },
+        { node: 'n1', zone: 'b' },
+      ],
+      replica,
+      clock,
+      policy: STORE_ALONE,
+      stoodDown: new StoodDownRoles(clock),
+      invalidBackoff: new InvalidChangeBackoff(clock),
+      startedAt: clock.now(),
+    });
+    // Both are starting, so all members are candidates for the lead.
+    const first = turns.isOurTurn('leader', null);
+    clock.pass(MEMBER_RENEW_MS);
+    const later = turns.isOurTurn('leader', null);
+    looks.push(`${first} ${later}`);
+  }
+  assert.deepEqual(looks.sort(), ['false true', 'true true']);
+});
