--- a/test/suspicion-cuts.test.ts
+++ b/test/suspicion-cuts.test.ts
@@ -1,6 +1,7 @@
 /** Nodes that lose one another or the state service, with failure detection: when roles are taken. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { RoleTenure } from '../src/protocol/peer-messages.js';
 import { playRow, split, tenures, type SuspicionRow } from './world/suspicion.js';
 import type { World } from './world/world.js';
 
@@ -11,6 +12,17 @@
 
 const nodes = (world: World): string[] => world.members.map(([name]) => name);
 
+/** What names another tenure than n1's of its part, or is sent by no member. */
+const FOREIGN = [{ term: 7 }, { incarnation: 'x' }, { node: 'stranger' }];
+
+function refusesToStandDown(world: World, requests: Partial<RoleTenure>[]): void {
+  const tenure = { node: 'n0', role: 'part-n1', term: 1, incarnation: 'n1-2' };
+  for (const fields of requests) {
+    const message = { kind: 'standDown' as const, ...tenure, ...fields };
+    world.nodes.get('n1')?.node.receive(message, () => assert.fail(JSON.stringify(fields)));
+  }
+}
+
 const ROWS: SuspicionRow[] = [
   {
     name: 'peers can not reach each other, the state service reaches all',
@@ -64,7 +76,10 @@
     reasons: [STOOD_DOWN],
     trouble: async ({ world, stoodDown }) => {
       world.state.refused.add('n1');
-      await world.run(40);
+      // By now it would stand down, if it were asked for its own tenure by a member.
+      await world.run(4);
+      refusesToStandDown(world, FOREIGN);
+      await world.run(36);
       assert.ok(stoodDown.includes('n1 part-n1'), stoodDown.join());
       assert.doesNotMatch(Object.values(tenures(world)).join(), /n1 /);
       world.state.refused.clear();
@@ -152,12 +167,7 @@
     name: 'a late request to stand down meets a node that is registered',
     keepsTerms: true,
     trouble: async ({ world }) => {
-      const incarnation = 'n1-2';
-      const tenure = { node: 'n0', role: 'part-n1', term: 1, incarnation };
-      for (const fields of [{}, { term: 7 }, { incarnation: 'x' }, { node: 'stranger' }]) {
-        const message = { kind: 'standDown' as const, ...tenure, ...fields };
-        world.nodes.get('n1')?.node.receive(message, () => assert.fail('stood down'));
-      }
+      refusesToStandDown(world, [{}, ...FOREIGN]);
       await world.run(10);
     },
   },
