--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -4,8 +4,12 @@
 const KEPT_CHANGES = 10_000;
 const TICK_MS = 20;
 
-/** Opens a state service; `limits` are `rps`, `write_rps`, `value_kb` and `txn_ops` of the settings. */
+/**
+ * A state service. Faults that a play may set: `isDown` (an outage), `refused` (controllers that get 503),
+ * `extraMs` (slow answers), `late` (the share of transactions that get no answer).
+ */
 export class Store {
+  /** `limits` are `rps`, `write_rps`, `value_kb` and `txn_ops` of the settings. */
   static async open(limits) {
     const store = new Store(limits);
     store.timer = setInterval(() => store.expire(), TICK_MS);
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -8,7 +8,10 @@
 
 const isOnMachine = ({ stage }) => ['running', 'saving', 'gathering'].includes(stage);
 
-/** One worker with its tasks. */
+/**
+ * One worker with its tasks. Faults that a play may set: `isCut` (it loses the network), `isMute` (its reports
+ * don't arrive), `isDeaf` (answers and direct commands don't reach it), `isHung` (it stands still).
+ */
 export class Worker {
   /**
    * `nodes`: names and addresses of all controllers; `jobs`: submitted jobs by id; `times`: `report_s`
