--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -13,6 +13,8 @@
   onMachines = new Map();
   starts = [];
   ranTwice = [];
+  /** Gangs by job and attempt. */
+  gangs = new Map();
   /** Tasks that have completed; their results are kept. */
   completed = new Set();
 
@@ -42,6 +44,40 @@
     this.onChange?.(machine, larva);
   }
 
+  /**
+   * Lets a gang's task wait for the others of its attempt. They run once all of them have gathered,
+   * and complete together; if one goes, the others end too.
+   */
+  async gather(job, member) {
+    const name = `${job.ref}#${member.task.attempt}`;
+    const gang = this.gangs.get(name) ?? { members: new Map(), hasStarted: false };
+    this.gangs.set(name, gang);
+    gang.members.set(member.task.larva, member);
+    const isHere = ({ worker, task, key }) =>
+      worker.tasks.get(key) === task && task.stage !== 'exited';
+    const here = () => [...gang.members.values()].filter(isHere);
+    const { gangWaitS, gangPeerS } = member.worker.settings;
+    if (here().length < job.larvae) {
+      const until = performance.now() + gangWaitS * 1000;
+      while (performance.now() < until && !gang.hasStarted && isHere(member)) await sleep(100);
+      if (!gang.hasStarted && isHere(member)) member.worker.exit(member.task, 'alone');
+      return;
+    }
+    gang.hasStarted = true;
+    for (const { worker, task } of here()) {
+      task.stage = 'running';
+      worker.hasChanged = true;
+    }
+    const endsAt = performance.now() + job.runS * 1000;
+    while (performance.now() < endsAt && here().length === job.larvae) await sleep(50);
+    const isComplete = here().length === job.larvae;
+    if (!isComplete) await sleep(Math.random() * gangPeerS * 1000);
+    for (const { worker, task } of here()) {
+      if (isComplete) this.completed.add(task.larva);
+      worker.exit(task, isComplete ? 'done' : 'mates_gone');
+    }
+  }
+
   /** CPUs of a team's tasks that are on machines. */
   cpusOf(team) {
     let cpus = 0;
@@ -266,10 +302,11 @@
     if (this.tasks.get(key) !== task || task.stage !== 'pulling') return;
     this.images.add(job.cocoon);
     if (this.floor.completed.has(larva)) return this.exit(task, 'done');
-    task.stage = 'running';
+    task.stage = job.shape === 'group' ? 'gathering' : 'running';
     task.isOnMachine = true;
     this.hasChanged = true;
     this.floor.start(this.name, larva, attempt);
+    if (job.shape === 'group') return this.floor.gather(job, { worker: this, task, key });
     if (job.shape === 'standing') return;
     await sleep(job.runS * 1000);
     if (this.tasks.get(key) !== task || task.stage !== 'running') return;
