A direct answer is no proof against a start in an answer that is on its way

Cause: a heartbeat without a task was taken as proof that the task is not on the machine, unless a direct call could still bring its start. A start in an answer to a heartbeat can be carried out for 4 s too, and in that time the worker can answer a direct call, with a newer number and without the task. Where the task may not start there again, it was requeued at once and placed elsewhere.

Change: the starts in the newest answer are remembered until the worker sends a heartbeat on its own, or shows a later worker epoch or a higher token, with which it drops the answer. It waits for an answer before it sends the next heartbeat, so that is the earliest proof. Until then they count as starts that may still arrive, for all reasons to move a task, and direct calls do not repeat them. Nothing is stored and the wire is unchanged. A log line tells by which kind of heartbeat a task was found missing.

--- a/src/coordination/shard-state/machine-heartbeats.ts
+++ b/src/coordination/shard-state/machine-heartbeats.ts
@@ -1,5 +1,5 @@
 /** Orders the heartbeats of machines and tracks which machines receive the answers to them. */
-import type { Heartbeat } from '../../protocol/model.js';
+import type { Command, Heartbeat } from '../../protocol/model.js';
 import type { Clock } from '../../transport/clock.js';
 import type { FencingTokens } from './fencing-tokens.js';
 import type { Machine } from './machine.js';
@@ -29,6 +29,20 @@
     machine.unconfirmedCall = null;
 }
 
+/**
+ * Clears a machine's unconfirmed answer if the worker can no longer receive it. A worker waits for
+ * the answer to a heartbeat before it sends the next one on its own. In between it may answer direct
+ * calls, which does not show whether it has received the answer.
+ */
+function clearEndedAnswer(machine: Machine, heartbeat: Heartbeat, isOwn: boolean): void {
+  const { unconfirmedAnswer } = machine;
+  if (!unconfirmedAnswer) return;
+  const isDropped =
+    heartbeat.workerEpoch > unconfirmedAnswer.workerEpoch ||
+    heartbeat.fencingToken > unconfirmedAnswer.fencingToken;
+  if (isOwn || isDropped) machine.unconfirmedAnswer = null;
+}
+
 /**
  * Orders heartbeats and acknowledges machines. A heartbeat lists the tasks that were on the machine
  * when it was sent. It proves that the machine receives this holder's answers only if it shows the
@@ -65,6 +79,7 @@
     this.storeHeartbeat(machine, heartbeat, acknowledgesMachine);
     if (callSentAt === null) machine.heartbeatAt = machine.observedAt;
     clearEndedCall(machine, heartbeat);
+    clearEndedAnswer(machine, heartbeat, callSentAt === null);
     // The worker's lease expired although its heartbeats were answered, so answers may be lost.
     if (hasNewEpoch) this.fencingTokens.requireAcknowledgement(machine);
     return hasNewEpoch ? 'newEpoch' : 'newer';
@@ -112,6 +127,20 @@
     if (machine.unacknowledgedAnswers++ === 0) machine.unacknowledgedSince = now;
   }
 
+  /**
+   * Records the starts in the answer to the newest heartbeat. They may be carried out until the
+   * worker sends its next heartbeat on its own.
+   */
+  recordStarts(machine: Machine, commands: readonly Command[]): void {
+    const starts = commands.filter(({ op }) => op === 'start');
+    if (starts.length === 0) return;
+    machine.unconfirmedAnswer = {
+      workerEpoch: machine.workerEpoch,
+      fencingToken: this.fencingTokens.tokenOf(machine),
+      attempts: new Set(starts.map(({ attempt }) => attempt)),
+    };
+  }
+
   /**
    * Whether the machine's heartbeats may be answered. Once the machine has been answered for a
    * whole lease without being acknowledged, it is no longer answered, so that its lease expires.
--- a/src/coordination/shard-state/machine.ts
+++ b/src/coordination/shard-state/machine.ts
@@ -14,6 +14,14 @@
   fencedBy: number | null;
 }
 
+/** Starts in the newest answer to a heartbeat that the worker sent on its own. */
+interface UnconfirmedAnswer {
+  workerEpoch: number;
+  /** The token of the answer. The worker drops the answer if it has received a higher one. */
+  fencingToken: number;
+  attempts: Set<number>;
+}
+
 /** A machine, its newest heartbeat, and the state of its acknowledgement and lease. */
 export interface Machine {
   name: string;
@@ -67,6 +75,8 @@
    */
   hasUnfencedStart: boolean;
   unconfirmedCall: UnconfirmedCall | null;
+  /** Null if no start in an answer to a heartbeat may still arrive. */
+  unconfirmedAnswer: UnconfirmedAnswer | null;
 
   /**
    * The machine will be taken back by the cloud, according to its heartbeat or its stored health.
@@ -113,6 +123,7 @@
     answeredAt: now,
     hasUnfencedStart: false,
     unconfirmedCall: null,
+    unconfirmedAnswer: null,
     isLeaving: false,
     isConsolidating: false,
     reportedTasks: [],
@@ -120,3 +131,12 @@
     failedJobs: new Set(),
   };
 }
+
+/** Whether a start of this attempt was sent to the machine and may still be carried out. */
+export function mayStillStart(machine: Machine, attempt: number): boolean {
+  const { unconfirmedAnswer, unconfirmedCall } = machine;
+  return (
+    (unconfirmedCall?.attempts.has(attempt) ?? false) ||
+    (unconfirmedAnswer?.attempts.has(attempt) ?? false)
+  );
+}
--- a/src/coordination/shard/heartbeat-observer.ts
+++ b/src/coordination/shard/heartbeat-observer.ts
@@ -1,12 +1,15 @@
 /** Updates a shard's machines and tasks from the heartbeats of workers. */
 import type { TaskStatus, Heartbeat } from '../../protocol/model.js';
-import type { Machine } from '../shard-state/machine.js';
+import { mayStillStart, type Machine } from '../shard-state/machine.js';
 import type { HeartbeatFreshness } from '../shard-state/machine-heartbeats.js';
 import type { Task } from '../shard-state/assignment.js';
 import type { AssignedTask } from '../shard-state/tasks.js';
 import { jobSpec, type ShardContext } from './shard-context.js';
 import { findReportedTask } from './reported-task.js';
 
+/** How a heartbeat arrived: the worker sent it on its own, or it answers a direct call. */
+type HeartbeatSource = 'heartbeat' | 'directCall';
+
 /** Applies heartbeats to the machines and tasks of a shard. */
 export class HeartbeatObserver {
   constructor(private readonly context: ShardContext) {}
@@ -39,7 +42,8 @@
       wake();
     }
     machine.reportedTasks = heartbeat.tasks;
-    this.handleMissing(machine, this.observeTasks(machine));
+    const source = callSentAt === null ? 'heartbeat' : 'directCall';
+    this.handleMissing(machine, this.observeTasks(machine), source);
     return freshness;
   }
 
@@ -101,18 +105,26 @@
    * Handles placed tasks that are proven to be missing on the machine. They are marked to be
    * started again, or requeued if they may not start there any more.
    */
-  private handleMissing(machine: Machine, listed: ReadonlySet<Task>): void {
-    const { machines, tasks, wake } = this.context;
+  private handleMissing(
+    machine: Machine,
+    listed: ReadonlySet<Task>,
+    source: HeartbeatSource,
+  ): void {
+    const { log, machines, tasks, wake } = this.context;
     const isSchedulable = machines.isSchedulable(machine);
     for (const [task, assignment] of [...tasks.placedOn(machine.name)]) {
       if (listed.has(task)) continue;
       // A task that is not listed is proven to be missing only if the worker has shown a token of
-      // this holder, which fences the starts of former holders, and if no direct call with the
-      // task's start may still arrive.
-      if (!machine.hasShownTokenOfEntry || machine.unconfirmedCall?.attempts.has(task.attempt))
-        continue;
+      // this holder, which fences the starts of former holders, and if the task's start cannot
+      // arrive any more.
+      if (!machine.hasShownTokenOfEntry || mayStillStart(machine, task.attempt)) continue;
       task.isStartSent = false;
       if (jobSpec(this.context, assignment.job) === null || !isSchedulable || task.isStopping) {
+        const { attempt, index } = task;
+        log.info(
+          { job: assignment.job, task: index, attempt, machine: machine.name, source },
+          'missing task requeued',
+        );
         tasks.requeue(assignment, task);
         wake();
       }
--- a/src/coordination/shard/machine-commands.ts
+++ b/src/coordination/shard/machine-commands.ts
@@ -1,7 +1,7 @@
 /** Builds the commands that bring a machine to its desired state. */
 import { MAX_COMMANDS_PER_ANSWER } from '../../constants/shard.js';
 import type { Command, TaskStatus } from '../../protocol/model.js';
-import type { Machine } from '../shard-state/machine.js';
+import { mayStillStart, type Machine } from '../shard-state/machine.js';
 import { fits, allocate, type Resources } from '../capacity/resources.js';
 import type { Task } from '../shard-state/assignment.js';
 import type { AssignedTask } from '../shard-state/tasks.js';
@@ -90,10 +90,10 @@
     }
     // An exited task is forgotten only after its end is stored. Before that, a new holder of this
     // shard would treat the placement as one whose start was lost, and start it again. The task is
-    // not forgotten either while a direct call with its start may still arrive and start it again.
+    // not forgotten either while its start may still arrive and start it again.
     const assignment = this.context.tasks.findTask(task.job, task.index)?.assignment;
     const stored = assignment?.committedRecord.live[String(task.index)];
-    if (stored?.[1] !== attempt && !machine.unconfirmedCall?.attempts.has(attempt)) {
+    if (stored?.[1] !== attempt && !mayStillStart(machine, attempt)) {
       commands.push({ op: 'forget', task, attempt });
     }
   }
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -161,6 +161,7 @@
     // Commands in the answer to a late duplicate would be lost, so that answer contains none.
     const commands =
       freshness === 'older' ? [] : this.commands.commandsFor(machine, { resend: true });
+    this.machines.heartbeats.recordStarts(machine, commands);
     return { ok: true, fencingToken: this.machines.fencingTokens.tokenOf(machine), commands };
   }
 
--- a/test/world/fault-steps.ts
+++ b/test/world/fault-steps.ts
@@ -1,23 +1,12 @@
 /** Faults and restarts that several test scripts share. */
 import type { SimWorker } from './worker.js';
+import type { WorkerFaults } from './worker-faults.js';
 import type { World } from './world.js';
 
-/** Fields of a simulated worker that disturb its messages. */
-type MessageFaults = Partial<
-  Pick<
-    SimWorker,
-    | 'directDelayMs'
-    | 'directDuplicatesAfterMs'
-    | 'heartbeatDelayMs'
-    | 'heartbeatDuplicatesAfterMs'
-    | 'losesHeartbeats'
-  >
->;
-
-/** Sets message faults on all workers that are up. Values of zero, false or an empty list end them. */
+/** Sets faults on all workers that are up. Values of zero, false, null or an empty list end them. */
 export function setOnAllWorkers(
   cluster: { workers: ReadonlyMap<string, SimWorker> },
-  faults: MessageFaults,
+  faults: Partial<WorkerFaults>,
 ): void {
   for (const worker of cluster.workers.values()) Object.assign(worker, faults);
 }
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -3,18 +3,15 @@
 import { TYPES } from './settings.js';
 import { bodyOf, type Answer, type WireAnswer, type WireCommand } from './worker-wire.js';
 import type { SimulationHost } from './simulation-host.js';
+import { ANSWER_TIMEOUT_MS, WorkerFaults } from './worker-faults.js';
 
 /** ms between two heartbeats when nothing changes. */
 const HEARTBEAT_MS = 3000;
 /** ms after which a heartbeat that was not accepted is sent to the next controller. */
 const RETRY_MS = 1000;
-/** ms after which a heartbeat without an answer times out. */
-const ANSWER_TIMEOUT_MS = 4000;
-/** ms that a machine takes to fetch an image. */
-const IMAGE_MS = 1000;
 
 /** A simulated worker: sends heartbeats, keeps its lease and executes controllers' commands. */
-export class SimWorker {
+export class SimWorker extends WorkerFaults {
   readonly tasks = new Map<string, SimTask>();
   private workerEpoch = 1;
   private sequence = 0;
@@ -22,18 +19,6 @@
   private leaseRenewedAt: number;
   private controllerIndex = 0;
   isDead = false;
-  /** Delay in ms before a direct call is executed; above 0, the call's answer is lost. */
-  directDelayMs = 0;
-  /** Delays in ms after which duplicates of a direct call arrive, from its own arrival on. */
-  directDuplicatesAfterMs: number[] = [];
-  /** Extra delay in ms of heartbeats; an answer after `ANSWER_TIMEOUT_MS` is ignored. */
-  heartbeatDelayMs = 0;
-  /** True if heartbeats arrive, but answers and direct calls do not reach this worker. */
-  losesAnswers = false;
-  /** True if heartbeats reach no controller; direct calls still reach this worker. */
-  losesHeartbeats = false;
-  /** Delays in ms after which duplicates of a heartbeat arrive, each at a random controller. */
-  heartbeatDuplicatesAfterMs: number[] = [];
   /** Number of direct calls and answers with a fencing token older than the latest one received. */
   staleCommands = 0;
   private isHeartbeatInFlight = false;
@@ -49,6 +34,7 @@
       spot: boolean;
     },
   ) {
+    super();
     this.leaseRenewedAt = world.clock.now();
     this.controllerIndex = world.randomBelow(world.members.length);
     this.tick();
@@ -75,6 +61,11 @@
     }
   }
 
+  /** Whether a task of the job is on the machine, in any state. */
+  hasTaskOf(job: string): boolean {
+    return [...this.tasks.keys()].some((name) => name.startsWith(`${job}/`));
+  }
+
   /** Executes a direct call, but refuses an old fencing token or a different worker epoch. */
   command(
     fencingToken: number,
@@ -134,6 +125,7 @@
       flight: this.workerEpoch,
       wingbeat: ++this.sequence,
       mandate: this.fencingToken,
+      warningS: this.noticeS,
       larvae: [...this.tasks].map(([larva, task]) => ({
         larva,
         try: task.attempt,
@@ -203,13 +195,20 @@
         world.deliver(name, () => {
           void entry.node.handleHeartbeat(body).then((reply) => {
             if (!world.isCut(name, this.machine.name) && !this.losesAnswers)
-              world.clock.after(world.linkDelayMs, () => resolve(reply));
+              world.clock.after(world.linkDelayMs + this.answerDelayOf(reply), () =>
+                resolve(reply),
+              );
           });
         });
       });
     });
   }
 
+  private answerDelayOf(reply: Answer): number {
+    const hasStart = bodyOf(reply)?.calls?.some(({ verb }) => verb === 'launch') ?? false;
+    return hasStart ? this.startAnswerDelayMs : 0;
+  }
+
   private execute(command: WireCommand): void {
     if (command.verb === 'reap') this.forget(command);
     else if (command.verb === 'halt') this.halt(command);
@@ -245,7 +244,7 @@
       this.exit(task, 'full');
       return;
     }
-    this.world.clock.after(IMAGE_MS, () => {
+    this.world.clock.after(this.fetchMs, () => {
       if (this.isDead || this.tasks.get(command.larva) !== task || task.state !== 'pulling') return;
       if (job.broken) this.exit(task, 'error');
       else if (job.gang) this.joinGang(command.larva, task);
