--- a/src/coordination/leader/assignment-planner.ts
+++ b/src/coordination/leader/assignment-planner.ts
@@ -117,9 +117,7 @@
     this.history.expire(startedAt, ASSIGN_INTERVAL_MS[supply()]);
     const cycle = this.createCycle(startedAt);
     this.teamQuota.beginCycle();
-    for (const job of this.jobsInSchedulingOrder(cycle)) {
-      this.steps.run(`assign tasks of ${job.id}`, () => this.assignJob(job, cycle));
-    }
+    for (const job of this.jobsInSchedulingOrder(cycle)) this.tryAssignJob(job, cycle);
     this.forgetClosedJobs();
     return cycle;
   }
@@ -164,6 +162,15 @@
     });
   }
 
+  /** Assigns tasks of a job; if that fails, the job gets none, so that no gang is assigned in part. */
+  private tryAssignJob(job: OpenJob, cycle: SchedulingCycle): void {
+    const countBefore = cycle.assignments.length;
+    const isAssigned = this.steps.run(`assign tasks of ${job.id}`, () =>
+      this.assignJob(job, cycle),
+    );
+    if (!isAssigned) cycle.assignments.length = countBefore;
+  }
+
   private assignJob(job: OpenJob, cycle: SchedulingCycle): void {
     if (this.options.rejectedChangeBackoff.isPaused(job.id)) return;
     if (job.spec.kind === 'gang') this.gangAssignment.assign(job, cycle);
--- a/src/coordination/scheduling/scheduler.ts
+++ b/src/coordination/scheduling/scheduler.ts
@@ -9,7 +9,7 @@
 import type { Clock } from '../../transport/clock.js';
 import { allocate } from '../capacity/resources.js';
 import { TermNumbers } from '../election/term-numbers.js';
-import type { Task } from '../shard-state/assignment.js';
+import type { Assignment, Task } from '../shard-state/assignment.js';
 import type { Machines } from '../shard-state/machines.js';
 import type { Tasks } from '../shard-state/tasks.js';
 import type { Bandit } from './bandit.js';
@@ -99,12 +99,13 @@
     });
     let isCapacityShort = false;
     for (const entry of waiting) {
-      const { job, record } = entry.assignment;
-      this.steps.run(`place tasks of ${job}`, () => {
-        const isGang = record.attempt !== undefined;
+      const { assignment } = entry;
+      const isGang = assignment.record.attempt !== undefined;
+      const hasSucceeded = this.steps.run(`place tasks of ${assignment.job}`, () => {
         const isPlaced = isGang ? this.placeGang(entry, cycle) : this.placeTasks(entry, cycle);
         if (!isPlaced) isCapacityShort = true;
       });
+      if (isGang && !hasSucceeded) this.undoPlacements(assignment);
     }
     // If some tasks found no machine, machines that consolidation is emptying may take tasks again.
     if (isCapacityShort) {
@@ -154,6 +155,15 @@
     return true;
   }
 
+  /** Requeues the tasks whose placements are not committed, so that no gang is placed in part. */
+  private undoPlacements(assignment: Assignment): void {
+    const { tasks } = this.dependencies;
+    for (const task of assignment.tasks.values()) {
+      if (task.state === 'placed' && !tasks.isCommitted(assignment, task))
+        tasks.requeue(assignment, task);
+    }
+  }
+
   private findGangLayout(
     { assignment, spec }: WaitingAssignment,
     candidates: readonly CandidateMachine[],
--- a/src/coordination/shard/bandit-snapshot.ts
+++ b/src/coordination/shard/bandit-snapshot.ts
@@ -5,7 +5,8 @@
 import { armKey } from '../../storage/keys.js';
 import type { StoreReplica } from '../../storage/store-replica.js';
 import type { Clock } from '../../transport/clock.js';
-import type { ArmRecord, Bandit } from '../scheduling/bandit.js';
+import { parseArmRecord, type ArmRecord } from '../scheduling/arm-records.js';
+import type { Bandit } from '../scheduling/bandit.js';
 import type { HolderRecords } from './holder-records.js';
 
 /** The shard, the store's limits, and the interval of snapshots. */
@@ -73,7 +74,8 @@
    */
   private changesOf(bandit: Bandit, type: string): Change[] {
     const { records, replica } = this.dependencies;
-    const storedStamp = replica.get<ArmRecord>(this.keyOf(type, 0))?.value.stamp ?? 0;
+    const stored = parseArmRecord(replica.get(this.keyOf(type, 0))?.value);
+    const storedStamp = stored.ok ? (stored.value.stamp ?? 0) : 0;
     const recordsWithStoredStamp = bandit.records(type, this.maxBytes, storedStamp);
     const isStored = (record: ArmRecord, number: number): boolean =>
       JSON.stringify(replica.get(this.keyOf(type, number))?.value) === JSON.stringify(record);
--- a/test/shard/failed-steps.test.ts
+++ b/test/shard/failed-steps.test.ts
@@ -4,10 +4,19 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Bandit } from '../../src/coordination/scheduling/bandit.js';
 import { assignmentKey, jobKey } from '../../src/storage/keys.js';
 import { PassSteps } from '../../src/storage/pass-steps.js';
 import { collectingLog } from '../world/settings.js';
-import { ended, PLAIN_ASSIGNMENT, running, shardFixture, SPEC } from '../world/shard-fixture.js';
+import {
+  ended,
+  GANG_ASSIGNMENT,
+  JOB,
+  PLAIN_ASSIGNMENT,
+  running,
+  shardFixture,
+  SPEC,
+} from '../world/shard-fixture.js';
 import { World } from '../world/world.js';
 
 const BAD_JOB = 'j-000000';
@@ -34,6 +43,23 @@
   assert.ok(errors.length > 0 && errors.every((one) => one.includes(BAD_JOB)), errors[0]);
 });
 
+test('a gang whose placement fails midway is placed in no part and returned to the leader', async (t) => {
+  const { log, errors } = collectingLog();
+  const records = [{ key: assignmentKey('p', JOB, 1), value: GANG_ASSIGNMENT }];
+  const world = await shardFixture({ log, records, spec: { kind: 'gang', tasks: 2 } });
+  let calls = 0;
+  const { mock } = t.mock.method(Bandit.prototype, 'context', () => {
+    if (++calls === 2) throw new Error('broken');
+    return [];
+  });
+  world.heartbeat();
+  await world.reconcile(8000);
+  assert.equal(mock.callCount(), 2);
+  assert.equal(world.stored(), undefined);
+  assert.deepEqual(world.sent, []);
+  assert.equal(errors.length, 1);
+});
+
 test('a shard that fails does not keep the other shards of its holder from their work', async () => {
   const { log, errors } = collectingLog();
   const world = new World(
--- a/test/shard/stored-arms.test.ts
+++ b/test/shard/stored-arms.test.ts
@@ -4,6 +4,8 @@
  */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { parseArmRecord } from '../../src/coordination/scheduling/arm-records.js';
+import { Bandit } from '../../src/coordination/scheduling/bandit.js';
 import { armKey } from '../../src/storage/keys.js';
 import { asEarlierVersionsStored, learnedArm } from '../world/learned-arms.js';
 import { ended, JOB, ops, running, shardFixture } from '../world/shard-fixture.js';
@@ -70,6 +72,19 @@
     assert.equal(world.stored()?.done, '0');
   });
 
+  test(`a new holder replaces or keeps a stored arm once it has learned: ${name}`, async () => {
+    const world = await shardFixture({ records, snapshotMs: 1000 });
+    world.heartbeat();
+    await world.reconcile();
+    const attempt = world.stored()?.live['0']?.[1] ?? 0;
+    world.heartbeat({}, [running(attempt)]);
+    world.heartbeat({}, [ended(attempt)]);
+    await world.reconcile(8000);
+    const parsed = parseArmRecord(world.store.entries.get(armKey('p', TYPE))?.value);
+    assert.ok(parsed.ok);
+    assert.equal(new Bandit([TYPE], 2, 2).restore(TYPE, parsed.value), 'restored');
+  });
+
   test(`a new holder writes the end of a task of a former holder with a stored arm: ${name}`, async () => {
     const world = await shardFixture({ records, placed: true });
     world.heartbeat({}, [running(77)]);
--- a/test/world/shard-fixture.ts
+++ b/test/world/shard-fixture.ts
@@ -74,6 +74,8 @@
   /** Further records that are stored when the shard starts. */
   records?: { key: string; value: unknown }[];
   log?: Log;
+  /** ms between two snapshots of the bandit; by default none is written. */
+  snapshotMs?: number;
 }
 
 /** Stores the first records: the role, the catalogue, a job and its only assignment. */
@@ -140,7 +142,7 @@
       valueBytes: options.valueBytes ?? 8192,
       alpha: 2,
       penalty: 2,
-      snapshotMs: 1e9,
+      snapshotMs: options.snapshotMs ?? 1e9,
       startWithinS: {},
       isHolder: () => true,
       isReplicaCurrent: () => true,
