Bandit and controller core in smaller modules; a cost that is no number spoils no later failure

A cost that is not finite was skipped as a payoff, but remained the highest cost of its class, so that the failures of the class were not learned any more.

Change: arm.ts holds one arm (regression, stored cells), control-loops.ts the loops and their intervals. The cost is checked before anything is learned from it.

--- a/src/coordination/controller/controller-core.ts
+++ b/src/coordination/controller/controller-core.ts
@@ -1,12 +1,4 @@
 /** A controller without its sockets: connects the services, the control loops and the endpoints. */
-import {
-  AUTOSCALER_INTERVAL_MS,
-  LEADER_COALESCE_MS,
-  STANDBY_INTERVAL_MS,
-  LOOP_INTERVAL_MS,
-  PAUSE_PER_CPU_TIME,
-  ELECTION_INTERVAL_MS,
-} from '../../constants/controller.js';
 import { ARMS, NODES, ROLES } from '../../storage/keys.js';
 import type { Log } from '../../storage/log.js';
 import { PassSteps } from '../../storage/pass-steps.js';
@@ -22,21 +14,13 @@
 import { PeerEndpoint } from './peer-endpoint.js';
 import { PeerRelay } from './peer-relay.js';
 import { RequestLog } from './request-log.js';
-import { ControlLoop, type ControlLoopOptions } from './control-loop.js';
+import { createControlLoops, type ControlLoops } from './control-loops.js';
 import { UserEndpoint, type UserRequest } from './user-endpoint.js';
 import { HeartbeatEndpoint } from './heartbeat-endpoint.js';
 import type { Shard } from '../shard/shard.js';
 
 export type { Environment } from '../../protocol/environment.js';
 
-/** The periodic loops of a controller. */
-interface ControlLoops {
-  readonly election: ControlLoop;
-  readonly shards: ControlLoop;
-  readonly leader: ControlLoop;
-  readonly autoscaler: ControlLoop;
-}
-
 /** Options of a controller. */
 export interface ControllerCoreOptions {
   readonly settings: Settings;
@@ -199,30 +183,14 @@
   }
 
   private createLoops(): ControlLoops {
-    const { activeRoles } = this;
     const { environment, log } = this.services;
-    const loop = (options: Omit<ControlLoopOptions, 'clock' | 'log'>): ControlLoop =>
-      new ControlLoop({ ...options, clock: environment.clock, log });
-    return {
-      election: loop({
-        name: 'election',
-        reconcile: () => this.reconcileElection(),
-        intervalMs: () => ELECTION_INTERVAL_MS,
-      }),
-      shards: loop({ name: 'shards', reconcile: () => this.reconcileShards() }),
-      leader: loop({
-        name: 'leader',
-        reconcile: () => activeRoles.reconcileLeader(),
-        lastCycleCpuMs: () =>
-          Math.max(LEADER_COALESCE_MS / PAUSE_PER_CPU_TIME, this.leader?.lastPlanningMs ?? 0),
-        intervalMs: () => (this.leader ? LOOP_INTERVAL_MS : STANDBY_INTERVAL_MS),
-      }),
-      autoscaler: loop({
-        name: 'autoscaler',
-        reconcile: () => activeRoles.reconcileAutoscaler(),
-        intervalMs: () => (this.leader ? AUTOSCALER_INTERVAL_MS : STANDBY_INTERVAL_MS),
-      }),
-    };
+    return createControlLoops({
+      clock: environment.clock,
+      log,
+      activeRoles: this.activeRoles,
+      reconcileElection: () => this.reconcileElection(),
+      reconcileShards: () => this.reconcileShards(),
+    });
   }
 
   /**
--- a/src/coordination/scheduling/bandit.ts
+++ b/src/coordination/scheduling/bandit.ts
@@ -1,41 +1,17 @@
 /** A contextual bandit that learns which machine types suit which classes of tasks. */
 
-import { Matrix } from 'ml-matrix';
-import { MAX_TASK_CLASSES, STORED_DIGITS_PER_TASK } from '../../constants/scheduling.js';
+import { MAX_TASK_CLASSES } from '../../constants/scheduling.js';
+import { Arm } from './arm.js';
 import { joinArm, splitArm, type ArmRecord } from './arm-records.js';
-import { restoreDesign } from './design-matrix.js';
 
 export type { ArmRecord } from './arm-records.js';
 
-/** State of the ridge regression for one machine type: A, its inverse, and b. */
-interface Arm {
-  /** A: the identity matrix plus the outer products of all contexts. */
-  design: Matrix;
-  designInverse: Matrix;
-  /** b: the sum of all contexts, weighted by their payoffs. */
-  response: Matrix;
-}
-
 /**
  * What became of a stored arm. `repaired`: restored with the nearest valid matrix A. `ignored`: it
  * was written with other machine types or conflicting classes. `invalid`: it is not an arm.
  */
 export type ArmRestoration = 'restored' | 'repaired' | 'ignored' | 'invalid';
 
-/** Most significant digits that a number has. */
-const MAX_SIGNIFICANT_DIGITS = 17;
-
-/**
- * Returns a function that rounds the cells of A and b for storage. Both are sums over tasks, so the
- * digits grow with the number of tasks. The error then stays a small fraction of what one task
- * contributes, and of the identity in A, without which A could not be inverted.
- */
-function storageRounding(design: Matrix): (value: number) => number {
-  const taskCount = Math.max(1, ...design.diagonal());
-  const digits = STORED_DIGITS_PER_TASK + Math.floor(Math.log10(taskCount));
-  return (value) => Number(value.toPrecision(Math.min(digits, MAX_SIGNIFICANT_DIGITS)));
-}
-
 /**
  * LinUCB over machine types, with one arm (A and b) per type. A context consists of the one-hot
  * encoded task class, each type's fraction of the placed tasks, and the one-hot encoded machine
@@ -73,15 +49,10 @@
   }
 
   private armOf(type: string): Arm {
-    let arm = this.arms.get(type);
-    if (!arm) {
-      arm = {
-        design: Matrix.eye(this.contextSize),
-        designInverse: Matrix.eye(this.contextSize),
-        response: Matrix.zeros(this.contextSize, 1),
-      };
-      this.arms.set(type, arm);
-    }
+    const known = this.arms.get(type);
+    if (known) return known;
+    const arm = Arm.create(this.contextSize);
+    this.arms.set(type, arm);
     return arm;
   }
 
@@ -105,36 +76,24 @@
 
   /** The upper confidence bound of an arm's payoff in a context; higher is better. */
   score(type: string, context: number[]): number {
-    const { designInverse, response } = this.armOf(type);
-    const vector = Matrix.columnVector(context);
-    const product = designInverse.mmul(vector);
-    const mean = product.dot(response);
-    return mean + this.alpha * Math.sqrt(Math.max(0, vector.dot(product)));
+    return this.armOf(type).score(context, this.alpha);
   }
 
-  /** Learns from a finished task; the payoff is the negative cost of its run. */
+  /**
+   * Learns from a finished task; the payoff is the negative cost of its run. A cost that is not
+   * finite is skipped, because it would spoil all scores of the type.
+   */
   recordSuccess(type: string, context: number[], cost: number): void {
+    if (!Number.isFinite(cost)) return;
     const classIndex = context.indexOf(1);
     this.highestCosts.set(classIndex, Math.max(this.highestCosts.get(classIndex) ?? 0, cost));
-    this.updateArm(type, context, -cost);
+    this.armOf(type).learn(context, -cost);
   }
 
   /** Learns from a failed task, which costs `penalty` times the highest cost of its class. */
   recordFailure(type: string, context: number[]): void {
     const highestCost = this.highestCosts.get(context.indexOf(1)) ?? 0;
-    this.updateArm(type, context, -this.penalty * highestCost);
-  }
-
-  /** Learns a payoff. One that is not finite is skipped, because it would spoil all scores. */
-  private updateArm(type: string, context: number[], payoff: number): void {
-    if (!Number.isFinite(payoff)) return;
-    const arm = this.armOf(type);
-    const vector = Matrix.columnVector(context);
-    arm.design.add(vector.mmul(vector.transpose()));
-    arm.response.add(Matrix.mul(vector, payoff));
-    // Sherman–Morrison formula: updates the inverse for the added x·xᵀ without a new inversion.
-    const product = arm.designInverse.mmul(vector);
-    arm.designInverse.sub(product.mmul(product.transpose()).div(1 + vector.dot(product)));
+    this.armOf(type).learn(context, -this.penalty * highestCost);
   }
 
   /**
@@ -146,16 +105,11 @@
   records(type: string, maxBytes: number, stamp: number): ArmRecord[] {
     const arm = this.arms.get(type);
     if (!arm) return [];
-    const round = storageRounding(arm.design);
-    const record: ArmRecord = { classes: [...this.classes], types: [...this.types], a: [], b: [] };
-    for (let row = 0; row < this.contextSize; row++) {
-      for (let column = 0; column <= row; column++) {
-        const cell = arm.design.get(row, column);
-        if (cell !== 0) record.a.push([row, column, round(cell)]);
-      }
-      const entry = arm.response.get(row, 0);
-      if (entry !== 0) record.b.push([row, round(entry)]);
-    }
+    const record: ArmRecord = {
+      classes: [...this.classes],
+      types: [...this.types],
+      ...arm.cells(),
+    };
     return splitArm(record, { maxBytes, stamp });
   }
 
@@ -176,31 +130,10 @@
     const commonCount = Math.min(this.classes.length, record.classes.length);
     const storedClasses = record.classes.slice(0, commonCount);
     if (this.classes.slice(0, commonCount).join() !== storedClasses.join()) return 'ignored';
-    const arm = this.readArm(record);
-    if (!arm) return 'invalid';
+    const restored = Arm.restore(this.contextSize, record);
+    if (!restored) return 'invalid';
     this.classes.push(...record.classes.slice(commonCount, MAX_TASK_CLASSES));
-    this.arms.set(type, arm);
-    return arm.isRepaired ? 'repaired' : 'restored';
-  }
-
-  /** Reads the matrices of a record; null: one of them is invalid. */
-  private readArm(record: ArmRecord): (Arm & { isRepaired: boolean }) | null {
-    const size = this.contextSize;
-    const isInside = (index: number): boolean => index < size;
-    const isComplete =
-      record.a.every(([row, column]) => isInside(row) && isInside(column)) &&
-      record.b.every(([row]) => isInside(row));
-    if (!isComplete) return null;
-    const stored = Matrix.zeros(size, size);
-    for (const [row, column, value] of record.a) {
-      stored.set(row, column, value);
-      stored.set(column, row, value);
-    }
-    const restored = restoreDesign(stored);
-    if (!restored) return null;
-    const response = Matrix.zeros(size, 1);
-    for (const [row, value] of record.b) response.set(row, 0, value);
-    const { design, inverse, isRepaired } = restored;
-    return { design, designInverse: inverse, response, isRepaired };
+    this.arms.set(type, restored.arm);
+    return restored.isRepaired ? 'repaired' : 'restored';
   }
 }
