An error of the bandit no longer keeps the end of a task from being recorded

Cause: an exited task was reported to the bandit before its end was recorded, so an error there would have ended the handling of the heartbeat, each time anew, until the machine lost its lease; and a stored b with huge entries made scores that are not numbers, with which no machine type was chosen.

Change: errors in learning are logged and the end is recorded. Cells of b are checked like those of A. If all scores are no numbers, the first type is taken.

--- a/src/constants/scheduling.ts
+++ b/src/constants/scheduling.ts
@@ -18,8 +18,11 @@
  */
 export const MIN_DESIGN_EIGENVALUE = 0.9;
 
-/** Largest valid cell of a bandit's matrix A. Beside larger ones the identity would be rounded away. */
-export const MAX_DESIGN_CELL = 1e12;
+/**
+ * Largest valid cell of a bandit's matrix A or vector b. Beside larger ones the identity in A would
+ * be rounded away.
+ */
+export const MAX_ARM_CELL = 1e12;
 
 /**
  * Fraction of a start target that an image fetch may take. The rest is for scheduling and for
--- a/src/coordination/scheduling/arm.ts
+++ b/src/coordination/scheduling/arm.ts
@@ -1,7 +1,7 @@
 /** One arm of the bandit: the ridge regression of the payoffs on one machine type. */
 
 import { Matrix } from 'ml-matrix';
-import { STORED_DIGITS_PER_TASK } from '../../constants/scheduling.js';
+import { MAX_ARM_CELL, STORED_DIGITS_PER_TASK } from '../../constants/scheduling.js';
 import type { ArmRecord } from './arm-records.js';
 import { restoreDesign } from './design-matrix.js';
 
@@ -46,21 +46,20 @@
 
   /** Reads an arm for contexts with `size` entries; null: the cells are not those of an arm. */
   static restore(size: number, { a, b }: ArmCells): RestoredArm | null {
-    const isInside = (index: number): boolean => index < size;
-    const areInside =
-      a.every(([row, column]) => isInside(row) && isInside(column)) &&
-      b.every(([row]) => isInside(row));
-    if (!areInside) return null;
+    const isIndex = (index: number): boolean => index < size;
+    const isCell = (value: number): boolean => Math.abs(value) <= MAX_ARM_CELL;
+    const areValid =
+      a.every(([row, column, value]) => isIndex(row) && isIndex(column) && isCell(value)) &&
+      b.every(([row, value]) => isIndex(row) && isCell(value));
+    if (!areValid) return null;
     const stored = Matrix.zeros(size, size);
     for (const [row, column, value] of a) {
       stored.set(row, column, value);
       stored.set(column, row, value);
     }
-    const restored = restoreDesign(stored);
-    if (!restored) return null;
     const response = Matrix.zeros(size, 1);
     for (const [row, value] of b) response.set(row, 0, value);
-    const { design, inverse, isRepaired } = restored;
+    const { design, inverse, isRepaired } = restoreDesign(stored);
     return { arm: new Arm(design, inverse, response), isRepaired };
   }
 
--- a/src/coordination/scheduling/design-matrix.ts
+++ b/src/coordination/scheduling/design-matrix.ts
@@ -1,7 +1,7 @@
 /** The design matrix of a ridge regression, as it is restored from a stored record. */
 
 import { EigenvalueDecomposition, Matrix } from 'ml-matrix';
-import { MAX_DESIGN_CELL, MIN_DESIGN_EIGENVALUE } from '../../constants/scheduling.js';
+import { MIN_DESIGN_EIGENVALUE } from '../../constants/scheduling.js';
 
 /** A design matrix and its inverse. */
 export interface RestoredDesign {
@@ -15,11 +15,9 @@
  * Inverts a symmetric matrix that was the identity plus a sum of x·xᵀ before it was stored. Such a
  * matrix has no eigenvalue below 1. Earlier versions rounded each cell to five digits, so that the
  * identity was lost in large sums and the matrix became singular or indefinite. The lowered
- * eigenvalues of such a matrix are raised to 1. Returns null if a cell exceeds `MAX_DESIGN_CELL`.
+ * eigenvalues of such a matrix are raised to 1.
  */
-export function restoreDesign(stored: Matrix): RestoredDesign | null {
-  const hasValidCells = stored.to1DArray().every((cell) => Math.abs(cell) <= MAX_DESIGN_CELL);
-  if (!hasValidCells) return null;
+export function restoreDesign(stored: Matrix): RestoredDesign {
   const { eigenvectorMatrix, realEigenvalues } = new EigenvalueDecomposition(stored, {
     assumeSymmetric: true,
   });
--- a/src/coordination/scheduling/machine-choice.ts
+++ b/src/coordination/scheduling/machine-choice.ts
@@ -100,11 +100,11 @@
     candidates: readonly CandidateMachine[],
     taskCounts: TaskCounts,
   ): string {
-    let best: ScoredType = { type: '', score: -Infinity };
+    let best: ScoredType | null = null;
     for (const scored of this.scoreTypes(spec, candidates, taskCounts)) {
-      if (scored.score > best.score) best = scored;
+      if (!best || scored.score > best.score) best = scored;
     }
-    return best.type;
+    return best?.type ?? '';
   }
 
   /** Scores each machine type of the candidates; a single type gets 0 without any computation. */
--- a/src/coordination/shard/cost-learning.ts
+++ b/src/coordination/shard/cost-learning.ts
@@ -1,4 +1,6 @@
 /** Reports the cost and the failures of tasks to the bandit that placed them. */
+import type { Log } from '../../storage/log.js';
+import { PassSteps } from '../../storage/pass-steps.js';
 import type { Clock } from '../../transport/clock.js';
 import type { Bandit } from '../scheduling/bandit.js';
 import type { Machine } from '../shard-state/machine.js';
@@ -6,33 +8,45 @@
 import type { Resources } from '../capacity/resources.js';
 import type { AssignedTask } from '../shard-state/tasks.js';
 
-/** Reports the ends of tasks to the bandit, except those of tasks that end before it is loaded. */
+/**
+ * Reports the ends of tasks to the bandit, except those of tasks that end before it is loaded. An
+ * error in the bandit is logged, because the end of the task must be recorded all the same.
+ */
 export class CostLearning {
   /** The shard's bandit; null until it is loaded. */
   bandit: Bandit | null = null;
+  private readonly steps: PassSteps;
 
   constructor(
     private readonly machines: Machines,
     private readonly clock: Clock,
-  ) {}
+    log: Log,
+  ) {
+    this.steps = new PassSteps(log, {});
+  }
 
   /**
    * Reports the cost of a task that is done, if the bandit placed it on the machine and a heartbeat
    * showed it running.
    */
   recordSuccess(machine: Machine, { assignment, task }: AssignedTask): void {
-    if (!task.banditContext || task.runningAt === null || !this.bandit) return;
-    const runTimeS = (this.clock.now() - task.runningAt) / 1000;
-    this.bandit.recordSuccess(
-      machine.type,
-      task.banditContext,
-      runTimeS * this.pricePerS(machine, assignment.record),
-    );
+    const { bandit } = this;
+    const { banditContext, runningAt } = task;
+    if (!banditContext || runningAt === null || !bandit) return;
+    const runTimeS = (this.clock.now() - runningAt) / 1000;
+    this.steps.run('learn from a completed task', () => {
+      const cost = runTimeS * this.pricePerS(machine, assignment.record);
+      bandit.recordSuccess(machine.type, banditContext, cost);
+    });
   }
 
   /** Reports a task that failed on the machine, if the bandit placed it there. */
   recordFailure(machine: Machine, { task }: AssignedTask): void {
-    if (task.banditContext) this.bandit?.recordFailure(machine.type, task.banditContext);
+    const { banditContext } = task;
+    if (!banditContext) return;
+    this.steps.run('learn from a failed task', () =>
+      this.bandit?.recordFailure(machine.type, banditContext),
+    );
   }
 
   /**
--- a/src/coordination/shard/shard.ts
+++ b/src/coordination/shard/shard.ts
@@ -227,7 +227,7 @@
     tasks,
     gangSubsets: new GangSubsets(options, { tasks, replica, clock, log }),
     jobFailureBackoff: new JobFailureBackoff(clock),
-    costLearning: new CostLearning(machines, clock),
+    costLearning: new CostLearning(machines, clock, log),
     machinesToCommand: new Set(),
     assignmentsOfEndedJobs: new Set(),
   };
--- a/test/scheduling/large-task-counts.test.ts
+++ b/test/scheduling/large-task-counts.test.ts
@@ -88,6 +88,16 @@
   }
 }
 
+for (const cell of [1e13, -1e13, 1e308]) {
+  test(`a cell of ${cell} belongs to no arm`, () => {
+    const arm = learnedArm(['small'], 10);
+    const bandit = new Bandit(['small'], 2, 2);
+    assert.equal(bandit.restore('small', { ...arm, a: [...arm.a, [1, 0, cell]] }), 'invalid');
+    assert.equal(bandit.restore('small', { ...arm, b: [[0, cell]] }), 'invalid');
+    assert.equal(bandit.restore('small', arm), 'restored');
+  });
+}
+
 test('a cost that is not a number does not spoil the scores of its machine type', () => {
   const bandit = new Bandit(['small'], 2, 2);
   const context = bandit.context('work/1/0', 'small', new Map());
--- a/test/shard/failed-steps.test.ts
+++ b/test/shard/failed-steps.test.ts
@@ -43,6 +43,27 @@
   assert.ok(errors.length > 0 && errors.every((one) => one.includes(BAD_JOB)), errors[0]);
 });
 
+for (const cause of ['done', 'error'] as const) {
+  test(`the end of a task is recorded even if the bandit fails to learn from it: ${cause}`, async (t) => {
+    const { log, errors } = collectingLog();
+    const fail = (): never => {
+      throw new Error('broken');
+    };
+    t.mock.method(Bandit.prototype, 'recordSuccess', fail);
+    t.mock.method(Bandit.prototype, 'recordFailure', fail);
+    const world = await shardFixture({ log });
+    world.heartbeat();
+    await world.reconcile();
+    const attempt = world.stored()?.live['0']?.[1] ?? 0;
+    world.heartbeat({}, [running(attempt)]);
+    world.heartbeat({}, [{ ...ended(attempt), cause }]);
+    await world.reconcile(8000);
+    assert.equal(world.stored()?.done, cause === 'done' ? '0' : '');
+    assert.notEqual(world.stored()?.live['0']?.[1], attempt);
+    assert.equal(errors.length, 1);
+  });
+}
+
 test('a gang whose placement fails midway is placed in no part and returned to the leader', async (t) => {
   const { log, errors } = collectingLog();
   const records = [{ key: assignmentKey('p', JOB, 1), value: GANG_ASSIGNMENT }];
